--- /dev/null
+++ b/src/api/leader.hpp
@@ -0,0 +1,87 @@
+#pragma once
+// One term of leadership: the cluster's decisions, and the coroutines that carry them out.
+#include <map>
+#include <memory>
+
+#include "app/settings.hpp"
+#include "election/election.hpp"
+#include "fleet/cloud_client.hpp"
+#include "fleet/renting.hpp"
+#include "net/http_server.hpp"
+#include "placement/cluster.hpp"
+
+namespace barrowrun::api {
+
+using net::Response;
+using net::Task;
+using wire::Json;
+
+// What every part of a node shares.
+struct Services {
+    net::asio::io_context& io;
+    const app::Settings& settings;
+    state::StateClient& state;
+    fleet::CloudClient& cloud;
+    net::HttpClient& workers;
+    net::HttpClient& peers;
+    election::Election& election;
+    std::vector<wire::MachineType>& catalog;  // machine types as last known
+};
+
+std::int64_t wall_ms();
+
+class Leader : public std::enable_shared_from_this<Leader> {
+  public:
+    Leader(Services services, std::uint64_t token, TimePoint acquired);
+    void start();
+    void stop();
+
+    bool loaded() const { return loaded_; }
+    bool may_act() const { return !stopped_ && services_.election.leading(Clock::now()); }
+    // A worker's report, at this node or by way of another; `direct` tells which.
+    Task<Response> hello(wire::Report report, bool direct);
+    // The state of a job if this leader knows it.
+    std::optional<wire::JobStatus> status(const std::string& id) const;
+    Task<Response> cancel(std::string id);
+    // A job was accepted by some node and is on record.
+    Task<> accepted(std::string id);
+    void accepted_here(const state::JobRecord& record);
+    bool admits(std::uint32_t tasks) const { return cluster_.queue().admits(tasks); }
+    std::uint64_t waiting() const { return cluster_.queue().waiting(); }
+
+  private:
+    Task<> load();
+    Task<> place_loop();
+    Task<> write_loop();
+    Task<> tick_loop();
+    Task<> watch_jobs();
+    Task<> cloud_types();
+    Task<> cloud_list();
+    Task<> cloud_rent();
+    Task<> rent_one(std::string request, state::HireRecord hire);
+    Task<> give_back(std::vector<std::string> names, bool proof);
+    Task<> push(std::string machine, bool fence);
+    Task<> probe(std::string machine);
+    Task<> restamp();
+    void spawn(std::string name, Task<> duty) { duties_.spawn(std::move(name), shared_from_this(), std::move(duty)); }
+    void send_touched();
+    void add(const state::JobRecord& record);
+    std::vector<std::string> silent(TimePoint now);
+
+    Services services_;
+    placement::Cluster cluster_;
+    fleet::Renting renting_;
+    net::Duties duties_;
+    net::Signal place_wake_, write_wake_;
+    TimePoint acquired_;
+    bool loaded_ = false, stopped_ = false, restamping_ = false;
+    std::uint64_t watch_from_ = 0, hires_ = 0;
+    std::map<std::string, wire::Report> early_;      // reports before the records were read
+    std::map<std::string, TimePoint> early_answer_;  // leases renewed by then
+    std::map<std::string, state::HireRecord> open_hires_;
+    TimePoint last_hello_{}, last_direct_{};
+    std::map<std::string, TimePoint> redirected_;
+    std::set<std::string> returned_;  // still listed for a while
+};
+
+}  // namespace barrowrun::api
--- /dev/null
+++ b/src/api/node.cpp
@@ -0,0 +1,394 @@
+#include "api/node.hpp"
+
+#include <spdlog/spdlog.h>
+
+namespace barrowrun::api {
+using net::http::verb;
+using state::Outcome;
+using namespace std::chrono_literals;
+
+namespace {
+
+std::vector<election::Peer> peers_of(const app::Settings& s) {
+    std::vector<election::Peer> out;
+    for (auto& m : s.members) {
+        election::Peer p;
+        p.name = m.name;
+        p.address = m.address;
+        out.push_back(std::move(p));
+    }
+    return out;
+}
+
+Response problem(int status, std::string text, int retry_after = 0) {
+    return Response{status, {{"error", std::move(text)}}, retry_after};
+}
+
+Json id_body(const std::string& id) { return Json{{"id", id}}; }
+
+constexpr std::size_t kept_final_states = 20'000;
+
+}  // namespace
+
+Node::Node(net::asio::io_context& io, const app::Settings& settings)
+    : io_(io),
+      settings_(settings),
+      state_(io, settings.state, settings.state_rps, settings.state_write_rps),
+      cloud_(io, settings.cloud, settings.cloud_rps),
+      workers_(io, 2),
+      peers_(io, 8),
+      election_(io, settings.node, peers_of(settings), state_, peers_, election::Timing{}),
+      public_server_(io, static_cast<std::size_t>(settings.max_connections * 0.75)),
+      peer_server_(io, static_cast<std::size_t>(settings.max_connections * 0.1)) {
+    election_.on_lead = [this](std::uint64_t token, TimePoint acquired) {
+        Services services{io_, settings_, state_, cloud_, workers_, peers_, election_, catalog_};
+        leader_ = std::make_shared<Leader>(services, token, acquired);
+        leader_->start();
+    };
+    election_.on_lose = [this] {
+        if (leader_) leader_->stop();
+        leader_.reset();
+    };
+}
+
+void Node::start() {
+    public_server_.listen(settings_.listen);
+    peer_server_.listen(settings_.peer_listen);
+    auto ended = [](const char* what) {
+        return [what](std::exception_ptr e) {
+            try {
+                if (e) std::rethrow_exception(e);
+            } catch (const std::exception& err) {
+                spdlog::error("{} ended: {}", what, err.what());
+            }
+        };
+    };
+    net::asio::co_spawn(io_, public_server_.serve([this](net::Request r) { return public_route(std::move(r)); }),
+                        ended("the public server"));
+    net::asio::co_spawn(io_, peer_server_.serve([this](net::Request r) { return peer_route(std::move(r)); }),
+                        ended("the peer server"));
+    net::asio::co_spawn(io_, election_.run(), ended("the election"));
+    net::asio::co_spawn(io_, election_.ping_peers(), ended("the pings"));
+    net::asio::co_spawn(io_, keep_catalog(), ended("the catalog"));
+}
+
+Task<> Node::keep_catalog() {
+    // A leader asks the cloud; the others read what it found.
+    while (catalog_.empty()) {
+        auto value = co_await state_.get(state::catalog_key);
+        if (value.outcome == Outcome::ok) {
+            auto types = wire::parse_types(value.value);
+            if (types && catalog_.empty()) catalog_ = *types;
+        }
+        if (catalog_.empty()) co_await net::sleep_for(500ms);
+    }
+}
+
+// ---- routes --------------------------------------------------------------------------------------------
+
+Task<Response> Node::public_route(net::Request request) {
+    const std::string prefix = "/submissions";
+    std::string target = request.target.substr(0, request.target.find('?'));
+    const bool get = request.method == verb::get, post = request.method == verb::post;
+    if (target == "/healthz") co_return get ? health() : problem(405, "use GET");
+    if (target == "/hello") {
+        if (!post) co_return problem(405, "use POST");
+        co_return co_await hello(std::move(request.body));
+    }
+    if (target == prefix) {
+        if (!post) co_return problem(405, "use POST");
+        co_return co_await submit(std::move(request.body));
+    }
+    if (target.starts_with(prefix + "/")) {
+        std::string rest = target.substr(prefix.size() + 1);
+        auto slash = rest.find('/');
+        if (slash == std::string::npos) {
+            if (!get) co_return problem(405, "use GET");
+            co_return co_await status(rest);
+        }
+        if (rest.substr(slash) == "/cancel") {
+            if (!post) co_return problem(405, "use POST");
+            co_return co_await cancel(rest.substr(0, slash), false);
+        }
+    }
+    co_return problem(404, "no such path");
+}
+
+Task<Response> Node::peer_route(net::Request request) {
+    auto body = wire::decode(request.body);
+    if (request.method != verb::post || !body) co_return problem(400, "malformed");
+    const std::string& target = request.target;
+    if (target == "/peer/ping") {
+        bool leads = leader() != nullptr;
+        Json answer{{"state_ok", state_.answers(Clock::now())}, {"leading", leads}};
+        answer["waiting"] = leads ? leader_->waiting() : 0;
+        co_return Response{200, std::move(answer)};
+    }
+    if (target == "/peer/abstain") {
+        auto ms = wire::count(*body, "ms").value_or(0);
+        bool promise = co_await election_.asked_to_abstain(std::chrono::milliseconds(std::min<std::uint64_t>(ms, 60'000)));
+        Json answer{{"promise", promise}};
+        co_return Response{200, std::move(answer)};
+    }
+    if (target == "/peer/hello") {
+        auto report = wire::parse_report(*body);
+        if (!report) co_return problem(400, "malformed");
+        auto kept = leader_;
+        if (!leader()) co_return problem(503, "not entitled to act");
+        co_return co_await kept->hello(std::move(*report), false);
+    }
+    if (target == "/peer/status" || target == "/peer/cancel" || target == "/peer/accepted") {
+        auto id = wire::text(*body, "id").value_or("");
+        if (!wire::valid_job_id(id)) co_return problem(400, "malformed");
+        auto kept = leader_;
+        if (!leader()) co_return problem(503, "not entitled to act");
+        if (target == "/peer/cancel") co_return co_await kept->cancel(id);
+        if (target == "/peer/accepted") {
+            co_await kept->accepted(id);
+            co_return Response{};
+        }
+        // Nothing: the asking node reads the state service itself.
+        auto s = kept->status(id);
+        if (!s || !kept->may_act()) co_return problem(503, "not known here");
+        co_return Response{200, wire::status_json(*s)};
+    }
+    if (target == "/peer/submit") {
+        auto spec = wire::parse_submission(*body);
+        if (!std::holds_alternative<wire::JobSpec>(spec)) co_return problem(400, "malformed");
+        co_return co_await submit_job(std::get<wire::JobSpec>(std::move(spec)), true);
+    }
+    co_return problem(404, "no such path");
+}
+
+Response Node::health() {
+    auto now = Clock::now();
+    // When the state service refuses everyone, being out of rotation would only make the recovery slower. When it
+    // refuses this node alone, the others should get the users.
+    if (!state_.answers(now) && election_.peer_state_ok(now)) return problem(503, "the state service refuses this node");
+    return Response{};
+}
+
+// ---- users ---------------------------------------------------------------------------------------------
+
+Task<Node::Look> Node::look_up(std::string id) {
+    Look look;
+    if (auto it = finished_.find(id); it != finished_.end()) {
+        look.known_outcome = true;
+        look.status = it->second;
+        co_return look;
+    }
+    // A job moves from jobs/ to past/ in one transaction, so looking in this order misses none.
+    auto job = co_await state_.get(state::job_key(id));
+    if (job.outcome == Outcome::ok) {
+        auto record = state::parse_job_record(job.value);
+        if (!record) co_return look;
+        auto progress = co_await state_.get(state::progress_key(id));
+        if (progress.outcome == Outcome::ok) {
+            auto p = state::parse_progress(progress.value, record->spec.tasks);
+            if (!p) co_return look;
+            look.known_outcome = true;
+            auto standing = p->cancelled ? wire::Standing::cancelled
+                            : p->done.size() == record->spec.tasks ? wire::Standing::done
+                            : p->done.empty()                      ? wire::Standing::queued
+                                                                   : wire::Standing::running;
+            look.status = wire::JobStatus{id, standing, p->done.size(), 0};
+            co_return look;
+        }
+        if (progress.outcome != Outcome::absent) co_return look;
+        // No progress yet, or the job has just moved on: only past/ tells.
+    } else if (job.outcome != Outcome::absent) {
+        co_return look;
+    }
+    auto past = co_await state_.get(state::past_key(id));
+    if (past.outcome == Outcome::ok) {
+        auto p = state::parse_past(past.value);
+        if (!p) co_return look;
+        look.known_outcome = true;
+        look.status = wire::JobStatus{id, p->standing, p->done, 0};
+        if (finished_.size() >= kept_final_states) finished_.erase(finished_.begin());
+        finished_[id] = *look.status;
+        co_return look;
+    }
+    if (past.outcome != Outcome::absent) co_return look;
+    look.known_outcome = true;
+    if (job.outcome == Outcome::ok) look.status = wire::JobStatus{id, wire::Standing::queued, 0, 0};
+    co_return look;
+}
+
+Task<std::optional<Response>> Node::ask_leader(std::string target, Json body, Clock::duration deadline) {
+    auto address = election_.leader_address();
+    if (!address) co_return std::nullopt;
+    auto reply = co_await peers_.call(*address, verb::post, std::move(target), std::move(body), deadline);
+    if (reply.status == 0 || reply.status == 503 || reply.garbage) co_return std::nullopt;
+    co_return Response{reply.status, std::move(reply.body)};
+}
+
+Task<Response> Node::status(std::string id) {
+    if (!wire::valid_job_id(id)) co_return problem(404, "no such job");
+    if (auto kept = leader_; leader()) {
+        auto s = kept->status(id);
+        // The right to lead is checked after the look: an answer from memory is only good while it holds.
+        if (s && kept->may_act()) co_return Response{200, wire::status_json(*s)};
+    } else if (!finished_.contains(id)) {
+        auto answer = co_await ask_leader("/peer/status", id_body(id), 600ms);
+        if (answer && answer->status == 200) co_return std::move(*answer);
+    }
+    auto look = co_await look_up(id);
+    if (!look.known_outcome) co_return problem(503, "the state service does not answer", 1);
+    if (!look.status) co_return problem(404, "no such job");
+    co_return Response{200, wire::status_json(*look.status)};
+}
+
+Task<Response> Node::cancel(std::string id, bool from_peer) {
+    if (!wire::valid_job_id(id)) co_return problem(404, "no such job");
+    if (auto kept = leader_; leader()) co_return co_await kept->cancel(id);
+    if (auto it = finished_.find(id); it != finished_.end())
+        co_return Response{200, wire::accepted_json(id, it->second.standing)};
+    if (!from_peer) {
+        auto answer = co_await ask_leader("/peer/cancel", id_body(id), 3500ms);
+        if (answer) co_return std::move(*answer);
+    }
+    co_return problem(503, "no leader can be reached", 1);
+}
+
+Task<Response> Node::submit(std::string body) {
+    auto decoded = wire::decode(body);
+    if (!decoded || !decoded->is_object()) co_return problem(400, "the body is not a MessagePack map");
+    auto parsed = wire::parse_submission(*decoded);
+    if (auto* wrong = std::get_if<std::string>(&parsed)) {
+        // A known job gets its state, whatever the repeated body says.
+        auto id = wire::text(*decoded, "name_id");
+        if (id && wire::valid_job_id(*id)) {
+            auto look = co_await look_up(*id);
+            if (!look.known_outcome) co_return problem(503, "the state service does not answer", 1);
+            if (look.status) co_return Response{200, wire::accepted_json(*id, look.status->standing)};
+        }
+        co_return problem(400, *wrong);
+    }
+    co_return co_await submit_job(std::get<wire::JobSpec>(std::move(parsed)), false);
+}
+
+Task<Response> Node::submit_job(wire::JobSpec spec, bool from_peer) {
+    const std::string id = spec.id;
+    std::string refusal;
+    int status = 0;
+    auto team = settings_.rules.teams.find(spec.team);
+    if (team == settings_.rules.teams.end()) {
+        status = 422, refusal = "unknown team";
+    } else {
+        double n = spec.sort == wire::Sort::array ? 1.0 : spec.tasks;
+        const auto& limits = team->second;
+        if ((limits.cpus_max > 0 && spec.need.cpus * n > limits.cpus_max + 1e-6) ||
+            (limits.gpus_max > 0 && spec.need.gpus * n > limits.gpus_max + 1e-6))
+            status = 422, refusal = "needs more than the team's limit";
+    }
+    if (status == 0 && catalog_.empty()) {
+        status = 503, refusal = "the machine types are not known yet";
+    } else if (status == 0) {
+        placement::Cluster check(settings_.rules);
+        check.set_types(catalog_);
+        if (!check.fits_some_type(spec)) status = 422, refusal = "a task fits no allowed machine type";
+    }
+    if (status == 0) {
+        bool admitted = true;
+        if (auto kept = leader_; leader()) {
+            if (kept->loaded()) admitted = kept->admits(spec.tasks);
+        } else {
+            for (auto& p : election_.peers())
+                if (p.leading && Clock::now() - p.heard < 5s && p.waiting + spec.tasks > settings_.rules.queue_bound)
+                    admitted = false;
+        }
+        if (!admitted) status = 429, refusal = "the queues are full";
+    }
+    if (status != 0) {
+        // What is known already is never refused.
+        auto look = co_await look_up(id);
+        if (!look.known_outcome) co_return problem(503, "the state service does not answer", 1);
+        if (look.status) co_return Response{200, wire::accepted_json(id, look.status->standing)};
+        co_return problem(status, refusal, status == 429 ? 10 : status == 503 ? 1 : 0);
+    }
+    state::JobRecord record{std::move(spec), wall_ms()};
+    for (int attempt = 0; attempt < 3; ++attempt) {
+        std::vector<state::Condition> conditions;
+        conditions.push_back({state::job_key(id), 0});
+        conditions.push_back({state::past_key(id), 0});
+        std::vector<state::Operation> operations;
+        operations.push_back({state::job_key(id), state::to_json(record), 0});
+        auto result = co_await state_.txn(conditions, operations, 1200ms);
+        if (result.outcome == Outcome::ok) {
+            if (auto kept = leader_; leader())
+                kept->accepted_here(record);
+            else
+                net::asio::co_spawn(io_, tell_leader(id), net::asio::detached);
+            co_return Response{201, wire::accepted_json(id, wire::Standing::queued)};
+        }
+        if (result.outcome == Outcome::conflict) {
+            auto known = co_await Node::status(id);
+            if (known.status == 200) {
+                auto standing = wire::standing_of(wire::text(known.body, "standing").value_or(""));
+                if (standing) co_return Response{200, wire::accepted_json(id, *standing)};
+            }
+            co_return problem(503, "not now", 1);
+        }
+        if (result.outcome == Outcome::unknown) {
+            // It may have been written: read back.
+            auto look = co_await look_up(id);
+            if (look.status) {
+                net::asio::co_spawn(io_, tell_leader(id), net::asio::detached);
+                co_return Response{200, wire::accepted_json(id, look.status->standing)};
+            }
+            break;
+        }
+        if (!state_.answers(Clock::now())) break;
+        co_await net::sleep_for(150ms);  // over the rate for a moment
+    }
+    if (!from_peer && election_.peer_state_ok(Clock::now())) {
+        for (auto& p : election_.peers()) {
+            if (!p.state_ok) continue;
+            auto reply = co_await peers_.call(p.address, verb::post, "/peer/submit", wire::submission_json(record.spec), 1500ms);
+            if (reply.status == 200 || reply.status == 201) co_return Response{reply.status, std::move(reply.body)};
+        }
+    }
+    co_return problem(503, "the state service does not answer", 1);
+}
+
+Task<> Node::tell_leader(std::string id) {
+    if (auto kept = leader_; leader()) {
+        co_await kept->accepted(id);
+        co_return;
+    }
+    // If this is lost, the leader finds the record by its watch.
+    co_await ask_leader("/peer/accepted", id_body(id), 1000ms);
+}
+
+// ---- workers -------------------------------------------------------------------------------------------
+
+Task<Response> Node::hello(std::string body) {
+    auto decoded = wire::decode(body);
+    if (!decoded) co_return problem(400, "not MessagePack");
+    auto report = wire::parse_report(*decoded);
+    if (!report) co_return problem(400, "not a report");
+    if (leader_) {
+        auto kept = leader_;
+        if (!kept->may_act()) co_return problem(503, "not entitled to act");
+        co_return co_await kept->hello(std::move(*report), true);
+    }
+    // Sent to the leader; one that comes back soon could not reach it, and is served by way of this node.
+    auto now = Clock::now();
+    auto name = election_.leader_name();
+    if (name.empty()) co_return problem(503, "no leader is known");
+    auto [it, fresh] = redirected_.try_emplace(report->machine, TimePoint{});
+    if (fresh || now - it->second > 30s) {
+        it->second = now;
+        co_return Response{421, wire::redirect_answer(name)};
+    }
+    auto address = election_.leader_address();
+    if (!address) co_return problem(503, "no leader is known");
+    auto reply = co_await peers_.call(*address, verb::post, "/peer/hello", wire::report_json(*report), 2500ms);
+    if (reply.status == 200) co_return Response{200, std::move(reply.body)};
+    it = redirected_.find(report->machine);
+    if (it != redirected_.end()) it->second = TimePoint{};
+    co_return problem(503, "the leader does not answer");
+}
+
+}  // namespace barrowrun::api
--- /dev/null
+++ b/src/api/node.hpp
@@ -0,0 +1,47 @@
+#pragma once
+// A controller node: the routes of users, workers and other nodes, with or without the lead.
+#include <memory>
+
+#include "api/leader.hpp"
+
+namespace barrowrun::api {
+
+class Node {
+  public:
+    Node(net::asio::io_context& io, const app::Settings& settings);
+    void start();
+
+  private:
+    Task<Response> public_route(net::Request request);
+    Task<Response> peer_route(net::Request request);
+    Task<Response> submit(std::string body);
+    Task<Response> submit_job(wire::JobSpec spec, bool from_peer);
+    Task<Response> status(std::string id);
+    Task<Response> cancel(std::string id, bool from_peer);
+    Task<Response> hello(std::string body);
+    Response health();
+    // A job's state from the state service: any node may look. Nothing: it could not be read.
+    struct Look {
+        bool known_outcome = false;
+        std::optional<wire::JobStatus> status;
+    };
+    Task<Look> look_up(std::string id);
+    Task<> tell_leader(std::string id);
+    Task<> keep_catalog();
+    Task<std::optional<Response>> ask_leader(std::string target, Json body, Clock::duration deadline);
+    Leader* leader() { return leader_ && leader_->may_act() ? leader_.get() : nullptr; }
+
+    net::asio::io_context& io_;
+    const app::Settings& settings_;
+    state::StateClient state_;
+    fleet::CloudClient cloud_;
+    net::HttpClient workers_, peers_;
+    election::Election election_;
+    std::vector<wire::MachineType> catalog_;
+    net::HttpServer public_server_, peer_server_;
+    std::shared_ptr<Leader> leader_;
+    std::map<std::string, wire::JobStatus> finished_;  // final states seen, bounded
+    std::map<std::string, TimePoint> redirected_;      // workers sent to the leader, and when
+};
+
+}  // namespace barrowrun::api
--- /dev/null
+++ b/src/app/main.cpp
@@ -0,0 +1,48 @@
+#include <spdlog/sinks/stdout_sinks.h>
+#include <spdlog/spdlog.h>
+
+#include <CLI/CLI.hpp>
+#include <cstdio>
+#include <cstdlib>
+
+#include "api/node.hpp"
+#include "app/settings.hpp"
+
+int main(int argc, char** argv) {
+    CLI::App cli{"barrowrun: a cluster scheduler with first-come queues, one per priority level"};
+    std::string config;
+    bool check = false;
+    cli.add_option("--config", config, "the platform's settings file (JSON)")->required();
+    cli.add_flag("--check-config", check, "check the settings and end");
+    cli.set_version_flag("--version", "barrowrun " BARROWRUN_VERSION);
+    CLI11_PARSE(cli, argc, argv);
+
+    auto logger = std::make_shared<spdlog::logger>("barrowrun", std::make_shared<spdlog::sinks::stderr_sink_st>());
+    logger->set_pattern("%H:%M:%S.%e %l %v");
+    spdlog::set_default_logger(logger);
+    const char* level = std::getenv("LOG_LEVEL");
+    std::string wanted = level ? level : "info";
+    spdlog::set_level(wanted == "debug"   ? spdlog::level::debug
+                      : wanted == "error" ? spdlog::level::err
+                      : wanted == "warn"  ? spdlog::level::warn
+                                          : spdlog::level::info);
+    try {
+        auto settings = barrowrun::app::load_settings(config);
+        if (check) {
+            std::puts("the settings are fine");
+            return 0;
+        }
+        boost::asio::io_context io{1};
+        barrowrun::api::Node node(io, settings);
+        node.start();
+        spdlog::info("{} serves on {}", settings.node, settings.listen);
+        io.run();
+    } catch (const barrowrun::app::SettingsError& e) {
+        std::fprintf(stderr, "barrowrun: %s: %s\n", config.c_str(), e.what());
+        return 2;
+    } catch (const std::exception& e) {
+        std::fprintf(stderr, "barrowrun: %s\n", e.what());
+        return 1;
+    }
+    return 0;
+}
--- /dev/null
+++ b/src/app/settings.hpp
@@ -0,0 +1,31 @@
+#pragma once
+// The platform's settings file, checked. Unknown fields are ignored.
+#include <stdexcept>
+#include <string>
+#include <vector>
+
+#include "placement/cluster.hpp"
+
+namespace barrowrun::app {
+
+struct SettingsError : std::runtime_error {
+    using std::runtime_error::runtime_error;
+};
+
+struct Member {
+    std::string name, address;
+};
+
+struct Settings {
+    std::string node, zone, listen, peer_listen, cloud, state;
+    std::vector<Member> members;
+    placement::Rules rules;
+    double state_rps = 100, state_write_rps = 50, cloud_rps = 2, list_lag_s = 5;
+    double max_connections = 500;
+};
+
+// Throws SettingsError with one line that names the field.
+Settings parse_settings(const std::string& text);
+Settings load_settings(const std::string& path);
+
+}  // namespace barrowrun::app
--- /dev/null
+++ b/src/election/election.cpp
@@ -0,0 +1,270 @@
+#include "election/election.hpp"
+
+#include <spdlog/spdlog.h>
+
+namespace barrowrun::election {
+using net::http::verb;
+using state::Outcome;
+using wire::Json;
+using namespace std::chrono_literals;
+
+Election::Election(net::asio::io_context& io, std::string node, std::vector<Peer> peers, state::StateClient& state,
+                   net::HttpClient& peer_client, Timing timing)
+    : io_(io),
+      node_(std::move(node)),
+      peers_(std::move(peers)),
+      state_(state),
+      peer_client_(peer_client),
+      timing_(timing),
+      wake_(io),
+      abstention_(Clock::now(), timing.promise) {
+    std::uniform_int_distribution<std::uint64_t> any;
+    incarnation_ = std::to_string(any(random_));
+}
+
+std::optional<std::string> Election::leader_address() const {
+    for (auto& p : peers_)
+        if (p.name == leader_name_) return p.address;
+    return std::nullopt;
+}
+
+bool Election::peer_state_ok(TimePoint now) const {
+    for (auto& p : peers_)
+        if (p.state_ok && now - p.heard < 3s) return true;
+    return false;
+}
+
+Task<> Election::run() {
+    for (;;) {
+        if (leader_)
+            co_await lead();
+        else
+            co_await follow();
+    }
+}
+
+Task<> Election::follow() {
+    auto sent = Clock::now();
+    auto current = co_await state_.get(state::leader_key, 1000ms);
+    if (current.outcome == Outcome::absent) {
+        leader_name_.clear();
+        if (!abstention_.free(Clock::now())) {
+            co_await net::sleep_for(std::min<Clock::duration>(abstention_.until() - Clock::now(), 500ms));
+            co_return;
+        }
+        co_await campaign();
+        co_return;
+    }
+    auto record = current.outcome == Outcome::ok ? state::parse_leader(current.value) : std::nullopt;
+    if (!record) {
+        co_await net::sleep_for(200ms);
+        co_return;
+    }
+    if (record->node == node_) {
+        if (record->incarnation != incarnation_) {
+            // An earlier process of this node led, and is certainly over: its hold need not run out.
+            spdlog::info("an earlier process of this node held the lead: its hold is ended");
+            co_await state_.end_hold(record->hold);
+            co_return;
+        }
+        // A campaign whose answer was lost did succeed. The promises given since then bind all the same.
+        if (!abstention_.free(Clock::now())) {
+            co_await net::sleep_for(abstention_.until() - Clock::now());
+            co_return;
+        }
+        hold_ = record->hold;
+        stamp_ = record->stamp;
+        sent = Clock::now();
+        if (co_await state_.extend_hold(hold_, 800ms) == Outcome::ok && abstention_.free(Clock::now())) {
+            become_leader(current.version, sent);
+        } else {
+            co_await net::sleep_for(200ms);
+        }
+        co_return;
+    }
+    if (leader_name_ != record->node) spdlog::info("{} leads with token {}", record->node, current.version);
+    leader_name_ = record->node;
+    auto change = co_await state_.watch(state::leader_key, current.version, 5s);
+    if (!change.ok && !change.too_old) {
+        co_await net::sleep_for(200ms);
+        co_return;
+    }
+    for (auto& e : change.events)
+        if (e.key == state::leader_key && !e.value) spdlog::info("the lead of {} has ended", leader_name_);
+}
+
+Task<> Election::campaign() {
+    auto hold = co_await state_.create_hold(timing_.ttl);
+    if (!hold) {
+        co_await net::sleep_for(200ms);
+        co_return;
+    }
+    if (!abstention_.free(Clock::now())) co_return;
+    hold_ = *hold;
+    stamp_ = 1;
+    state::LeaderRecord record{node_, incarnation_, hold_, stamp_};
+    std::vector<state::Condition> conditions{{state::leader_key, 0}};
+    std::vector<state::Operation> operations{{state::leader_key, state::to_json(record), hold_}};
+    auto result = co_await state_.txn(conditions, operations, 1000ms, false);
+    if (result.outcome == Outcome::ok) {
+        // The hold began when it was created, which was earlier: extend it before counting on it.
+        auto extended = Clock::now();
+        if (co_await state_.extend_hold(hold_, 800ms) == Outcome::ok && abstention_.free(Clock::now()))
+            become_leader(result.revision, extended);
+        co_return;
+    }
+    if (result.outcome == Outcome::conflict) {
+        co_await state_.end_hold(hold_);
+        co_return;
+    }
+    co_await net::sleep_for(100ms);  // unknown or refused: follow() reads back how it came out
+}
+
+void Election::become_leader(std::uint64_t token, TimePoint sent) {
+    authority_.emplace(peers_.size());
+    authority_->hold_extended(sent, timing_.ttl);
+    token_ = token;
+    leader_ = true;
+    lost_hint_ = false;
+    leader_name_ = node_;
+    spdlog::info("{} leads with token {}", node_, token);
+    on_lead(token, Clock::now());
+}
+
+void Election::lose(const char* why) {
+    if (!leader_) return;
+    leader_ = false;
+    leader_name_.clear();
+    authority_->lose();
+    spdlog::warn("{} no longer leads: {}", node_, why);
+    on_lose();
+}
+
+Task<> Election::lead() {
+    TimePoint last_ok = Clock::now();
+    bool silent_logged = false;
+    while (leader_) {
+        auto sent = Clock::now();
+        auto outcome = co_await state_.extend_hold(hold_, 700ms);
+        if (!leader_) break;
+        if (outcome == Outcome::ok) {
+            if (silent_logged) spdlog::info("the state service answers again, the lead goes on");
+            silent_logged = false;
+            authority_->hold_extended(sent, timing_.ttl);
+            last_ok = Clock::now();
+            if (lost_hint_) {
+                // A transaction met another token: see whether the key is still ours.
+                lost_hint_ = false;
+                auto current = co_await state_.get(state::leader_key, 800ms);
+                auto record = current.outcome == Outcome::ok ? state::parse_leader(current.value) : std::nullopt;
+                if (current.outcome == Outcome::absent || (record && record->incarnation != incarnation_)) {
+                    lose("another node took the lead");
+                    break;
+                }
+                if (record && current.version > token_) {
+                    // A re-stamp whose answer was lost.
+                    token_ = current.version;
+                    stamp_ = record->stamp;
+                }
+            }
+            co_await wake_.wait(timing_.ttl / 4);
+            continue;
+        }
+        if (outcome == Outcome::absent) {
+            lose("its hold has run out");
+            break;
+        }
+        if (!silent_logged) spdlog::warn("the state service does not extend the hold");
+        silent_logged = true;
+        if (Clock::now() - last_ok > timing_.ttl / 4) co_await collect_promises();
+        co_await net::sleep_for(150ms);
+    }
+}
+
+// While the state service answers nobody, the lead goes on as long as every other node promises not to take it.
+Task<> Election::collect_promises() {
+    struct Round {
+        std::size_t open;
+    };
+    auto done = std::make_shared<net::Signal>(io_);
+    auto round = std::make_shared<Round>(Round{peers_.size()});
+    for (auto& p : peers_) {
+        auto ask = [](Election* self, std::string name, std::string address, std::shared_ptr<Round> r,
+                      std::shared_ptr<net::Signal> signal) -> Task<> {
+            auto ms = std::chrono::duration_cast<std::chrono::milliseconds>(self->timing_.promise).count();
+            Json body{{"from", self->node_}, {"ms", ms}};
+            auto sent = Clock::now();
+            auto reply = co_await self->peer_client_.call(address, verb::post, "/peer/abstain", std::move(body), 900ms);
+            if (reply.status == 200 && wire::flag(reply.body, "promise").value_or(false) && self->leader_)
+                self->authority_->promised(name, sent, self->timing_.promise);
+            --r->open;
+            signal->wake();
+        };
+        net::asio::co_spawn(io_, ask(this, p.name, p.address, round, done), net::asio::detached);
+    }
+    auto end = Clock::now() + 900ms;
+    while (round->open > 0 && Clock::now() < end) co_await done->wait(end - Clock::now());
+}
+
+Task<bool> Election::asked_to_abstain(Clock::duration length) {
+    if (leader_) co_return false;
+    length = std::min(length, timing_.promise);
+    auto current = co_await state_.get(state::leader_key, 300ms);
+    if (current.outcome == Outcome::ok || current.outcome == Outcome::absent) {
+        // The state service answers here: the leader is alone with its trouble, and should be followed.
+        co_return false;
+    }
+    if (leader_) co_return false;
+    // A campaign of ours may be under way; it does not lead before the promise has run out.
+    abstention_.promise(Clock::now(), length);
+    co_return true;
+}
+
+Task<bool> Election::restamp() {
+    if (!leader_) co_return false;
+    auto old = token_;
+    state::LeaderRecord record{node_, incarnation_, hold_, stamp_ + 1};
+    std::vector<state::Condition> conditions{{state::leader_key, old}};
+    std::vector<state::Operation> operations{{state::leader_key, state::to_json(record), hold_}};
+    auto result = co_await state_.txn(conditions, operations, 1500ms, false);
+    if (!leader_ || token_ != old) co_return false;
+    if (result.outcome == Outcome::ok) {
+        ++stamp_;
+        token_ = result.revision;
+        spdlog::info("the token is renewed: {}", token_);
+        co_return true;
+    }
+    if (result.outcome == Outcome::conflict) doubt();
+    co_return false;
+}
+
+void Election::step_down(Clock::duration pause) {
+    if (!leader_) return;
+    auto hold = hold_;
+    abstention_.promise(Clock::now(), pause);
+    lose("it steps down");
+    auto end = [](Election* self, std::uint64_t h) -> Task<> { co_await self->state_.end_hold(h); };
+    net::asio::co_spawn(io_, end(this, hold), net::asio::detached);
+    wake_.wake();
+}
+
+Task<> Election::ping_peers() {
+    for (;;) {
+        auto answered = state_.answers(Clock::now());
+        for (auto& p : peers_) {
+            auto ask = [](Election* self, Peer* peer, bool ok) -> Task<> {
+                Json body{{"from", self->node_}, {"state_ok", ok}};
+                auto reply = co_await self->peer_client_.call(peer->address, verb::post, "/peer/ping", std::move(body), 800ms);
+                if (reply.status != 200) co_return;
+                peer->heard = Clock::now();
+                peer->state_ok = wire::flag(reply.body, "state_ok").value_or(false);
+                peer->leading = wire::flag(reply.body, "leading").value_or(false);
+                peer->waiting = wire::count(reply.body, "waiting").value_or(0);
+            };
+            net::asio::co_spawn(io_, ask(this, &p, answered), net::asio::detached);
+        }
+        co_await net::sleep_for(1s);
+    }
+}
+
+}  // namespace barrowrun::election
--- /dev/null
+++ b/src/election/election.hpp
@@ -0,0 +1,82 @@
+#pragma once
+// Who leads: a key in the state service on a short hold. Its version is the token.
+#include <functional>
+#include <random>
+#include <string>
+#include <vector>
+
+#include "election/authority.hpp"
+#include "net/http_client.hpp"
+#include "state/records.hpp"
+#include "state/state_client.hpp"
+
+namespace barrowrun::election {
+
+using net::Task;
+
+struct Peer {
+    std::string name, address;
+    // As its last answer said.
+    bool state_ok = false, leading = false;
+    std::uint64_t waiting = 0;  // tasks in its queues, if it leads
+    TimePoint heard{};
+};
+
+struct Timing {
+    Clock::duration ttl = std::chrono::milliseconds(3000);
+    Clock::duration promise = std::chrono::milliseconds(2500);
+};
+
+class Election {
+  public:
+    Election(net::asio::io_context& io, std::string node, std::vector<Peer> peers, state::StateClient& state,
+             net::HttpClient& peer_client, Timing timing);
+
+    std::function<void(std::uint64_t token, TimePoint acquired)> on_lead;
+    std::function<void()> on_lose;
+
+    Task<> run();
+    Task<> ping_peers();
+
+    // Checked just before every answer or act that only the leader may give.
+    bool leading(TimePoint now) { return leader_ && authority_->holds(now); }
+    bool elected() const { return leader_; }
+    std::uint64_t token() const { return token_; }
+    // A new version of the leader key: transactions and commands sent under the old one die.
+    Task<bool> restamp();
+    // Condition for a leader's transaction.
+    state::Condition fence() const { return {state::leader_key, token_}; }
+    void doubt() { lost_hint_ = true; wake_.wake(); }  // a transaction was refused because of the token
+    void step_down(Clock::duration pause);
+
+    const std::string& leader_name() const { return leader_name_; }  // empty: none known
+    std::optional<std::string> leader_address() const;
+    // A peer asks this node not to take over.
+    Task<bool> asked_to_abstain(Clock::duration length);
+    const std::vector<Peer>& peers() const { return peers_; }
+    bool peer_state_ok(TimePoint now) const;
+
+  private:
+    Task<> follow();
+    Task<> campaign();
+    Task<> lead();
+    Task<> collect_promises();
+    void become_leader(std::uint64_t token, TimePoint sent);
+    void lose(const char* why);
+
+    net::asio::io_context& io_;
+    std::string node_, incarnation_;
+    std::vector<Peer> peers_;
+    state::StateClient& state_;
+    net::HttpClient& peer_client_;
+    Timing timing_;
+    net::Signal wake_;
+    Abstention abstention_;
+    std::optional<Authority> authority_;
+    bool leader_ = false, lost_hint_ = false;
+    std::uint64_t token_ = 0, hold_ = 0, stamp_ = 0;
+    std::string leader_name_;
+    std::mt19937 random_{std::random_device{}()};
+};
+
+}  // namespace barrowrun::election
--- /dev/null
+++ b/src/fleet/cloud_client.hpp
@@ -0,0 +1,35 @@
+#pragma once
+// The cloud by its protocol, within its rate.
+#include "net/http_client.hpp"
+#include "wire/messages.hpp"
+
+namespace barrowrun::fleet {
+
+using net::Task;
+
+enum class RentOutcome { granted, no_capacity, refused, unknown };
+
+struct RentResult {
+    RentOutcome outcome = RentOutcome::unknown;
+    std::vector<std::string> machines;
+};
+
+class CloudClient {
+  public:
+    CloudClient(net::asio::io_context& io, std::string address, double rps)
+        : address_(std::move(address)), client_(io, 6), budget_(rps * 0.85, rps) {}
+    Task<std::optional<std::vector<wire::MachineType>>> types();
+    Task<std::optional<wire::MachineList>> list();
+    Task<RentResult> rent(std::string request, std::string type, std::string zone, bool spot, int n);
+    // True once the cloud says that the machines and everything on them are gone.
+    Task<bool> give_back(std::vector<std::string> names);
+
+  private:
+    Task<net::Reply> call(net::http::verb method, std::string target, std::optional<wire::Json> body,
+                          Clock::duration deadline);
+    std::string address_;
+    net::HttpClient client_;
+    net::RateBudget budget_;
+};
+
+}  // namespace barrowrun::fleet
--- /dev/null
+++ b/src/fleet/machine.hpp
@@ -0,0 +1,98 @@
+#pragma once
+// What may be on a machine, and what proves that it is not.
+#include <list>
+#include <memory>
+#include <optional>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "election/authority.hpp"
+#include "state/records.hpp"
+#include "wire/messages.hpp"
+
+namespace barrowrun::fleet {
+
+// How far the start of an attempt has come.
+enum class Phase {
+    recording,  // its record is being written; nothing was sent
+    ready,      // recorded, to be sent
+    pushed,     // sent to /commands, no answer yet, or none at all (unsettled)
+    replied,    // sent in the response to a report
+    inherited,  // a predecessor recorded it; it may be there, may still start, or be gone
+    seen,       // the worker has reported it
+};
+
+struct Entry {
+    Phase phase = Phase::recording;
+    std::uint64_t sent_token = 0;  // highest token under which a launch may still be on its way
+    bool in_flight = false;        // a push that carries the launch has not been answered or given up yet
+    bool late = false;             // such a push got no answer: it may execute any time later
+    std::uint64_t reply_seq = 0;
+    wire::TaskState state = wire::TaskState::fetching;
+    wire::Cause cause = wire::Cause::none;
+    bool saved = false;
+    bool stop = false;
+    double grace_s = 0;
+    TimePoint stop_at{}, stop_sent{};
+    TimePoint since{};    // when it was placed
+    TimePoint running{};  // when it was first seen running
+    TimePoint ended{};
+    wire::Resources need;
+    bool exited() const { return phase == Phase::seen && state == wire::TaskState::exited; }
+};
+
+struct Change {
+    enum Kind { adopted, started, ended, vanished } kind;
+    wire::Attempt attempt;
+    Entry entry;  // as it was last known
+};
+
+class Machine {
+  public:
+    std::string name, address, type, zone;
+    bool spot = false;
+    std::uint64_t session = 0, seq = 0, token_seen = 0;
+    bool up = false;  // its worker has reported to us
+    std::optional<TimePoint> taken_at;  // spot notice: when the cloud takes it, as nominally announced
+    TimePoint known{}, rented{}, last_report{}, last_answer{}, idle_since{}, up_since{}, probed{};
+    bool returning = false;  // a return request is out, or will be
+    bool drain = false;      // to be emptied and returned
+    bool suspect = false;    // silent, to be proven empty
+    bool push_ok = true;     // its address answers us
+    bool pushing = false;
+    int errors = 0, successes = 0;
+    double slowness = 1.0;
+    wire::Resources capacity;
+    double cache_gb = 0, fetch_gb_per_s = 0.1;
+    std::unordered_map<wire::Attempt, Entry, wire::AttemptHash> entries;
+    std::list<std::pair<std::string, double>> images;  // most recently used first, as far as we can tell
+    std::vector<wire::Attempt> recorded;               // what the durable record names
+
+    wire::Resources room() const;                // capacity less all that may be there
+    bool has_image(const std::string& image) const;
+    bool fetching(const std::string& image) const { return fetching_.contains(image); }
+    void use_image(const std::string& image, double gb);
+    void note_fetch(const std::string& image, double gb) { fetching_[image] = gb; }
+    bool holds_task(const wire::TaskId& task) const;
+    std::size_t live() const;  // attempts that may be there, exited ones aside
+
+    // Applies a report. `reply` tells a report to /hello from an answer of /commands: only the former proves
+    // that an earlier response was received or dropped. Nothing happens for a report that is not newer.
+    bool apply(const wire::Report& report, bool hello, std::uint64_t own_token, TimePoint now,
+               std::vector<Change>& changes);
+    // The machine is proven empty: gone, or its lease has run out.
+    void clear(std::vector<Change>& changes);
+    // When its lease has certainly run out if we don't answer it again.
+    TimePoint lease_end(double lease_s, TimePoint acquired) const {
+        return std::max({last_answer, acquired, known}) + longer(secs(lease_s));
+    }
+    // What to tell the worker now. `launches` says whether launches may go with it.
+    std::vector<wire::Command> commands(TimePoint now, bool launches,
+                                        const std::function<bool(const wire::Attempt&, const Entry&)>& may_reap) const;
+
+  private:
+    std::unordered_map<std::string, double> fetching_;
+};
+
+}  // namespace barrowrun::fleet
--- /dev/null
+++ b/src/fleet/renting.cpp
@@ -0,0 +1,193 @@
+#include "fleet/renting.hpp"
+
+#include <spdlog/spdlog.h>
+
+#include <algorithm>
+#include <cmath>
+
+namespace barrowrun::fleet {
+using placement::Cluster;
+using placement::Job;
+using wire::Sort;
+
+void Renting::refused(const Offer& offer, TimePoint now) {
+    auto& r = refusals_[offer];
+    r.row = std::min(r.row + 1, 3);
+    r.until = now + secs(4.0 * r.row);
+}
+
+void Renting::granted(const Offer& offer) { refusals_.erase(offer); }
+
+void Renting::note_arrival(const wire::JobSpec& spec, TimePoint now) {
+    if (spec.sort == Sort::service) service_arrivals_.emplace_back(now, spec.tasks);
+}
+
+namespace {
+
+struct Bin {
+    std::string name, type, zone;
+    bool spot = false, fresh = false;
+    wire::Resources room, soft;  // soft: room that lower work would yield
+    bool used = false;
+};
+
+// Time within which the job's tasks should all have been started, from now.
+double time_left(const Job& job, const placement::Rules& rules, TimePoint now) {
+    double elapsed = Seconds(now - job.accepted).count();
+    double run = job.run_guess();
+    double left = std::max(60.0, 3 * run);
+    for (auto& o : rules.objectives) {
+        if (o.job_class != job.spec.job_class) continue;
+        if (o.kind == "wait") left = std::min(left, o.within_s - elapsed);
+        if (o.kind == "finished") left = std::min(left, 0.8 * o.within_s - elapsed - run);
+        if (o.kind == "deadline" && job.spec.deadline_s)
+            left = std::min(left, *job.spec.deadline_s - elapsed - run);
+    }
+    return left;
+}
+
+}  // namespace
+
+RentPlan Renting::plan(const Cluster& cluster, TimePoint now) {
+    RentPlan out;
+    if (cluster.types().empty()) return out;
+    std::vector<Bin> bins;
+    for (auto& [name, m] : cluster.machines()) {
+        if (m->returning || m->drain || m->suspect || m->taken_at || m->capacity.mem_gb <= 0) continue;
+        Bin b{name, m->type, m->zone, m->spot, false, m->room(), {}, m->live() > 0};
+        for (auto& [a, e] : m->entries)
+            if (e.stop && !e.exited()) b.room += e.need;
+        b.soft = cluster.preemptible(*m, wire::Priority::production);
+        bins.push_back(std::move(b));
+    }
+    auto suits = [&](const wire::JobSpec& s, const std::string& type, const std::string& zone, bool spot) {
+        if (spot && !s.spot_ok) return false;
+        if (s.zone && *s.zone != zone) return false;
+        if (s.types && std::find(s.types->begin(), s.types->end(), type) == s.types->end()) return false;
+        auto t = cluster.types().find(type);
+        return t != cluster.types().end() && !cluster.gpu_reserved(s, t->second);
+    };
+    std::map<Offer, int> orders;
+    int budget = 40;  // orders in one plan
+    // Puts n tasks of a shape into bins, renting what is missing. `soft` counts room that can be made.
+    auto cover = [&](const Job* job, const wire::JobSpec& s, std::uint32_t n, bool soft) {
+        std::map<std::string, std::uint32_t> in_zone;
+        if (job)
+            for (auto& [index, list] : job->places)
+                for (auto& [name, number] : list) {
+                    auto it = cluster.machines().find(name);
+                    if (it != cluster.machines().end()) in_zone[it->second->zone]++;
+                }
+        auto zone_ok = [&](const std::string& zone) {
+            if (s.spread && in_zone[zone] + 1 > (s.tasks + 1) / 2) return false;
+            if (s.one_zone)
+                for (auto& [z, k] : in_zone)
+                    if (z != zone && k > 0) return false;
+            return true;
+        };
+        for (std::uint32_t k = 0; k < n; ++k) {
+            Bin* best = nullptr;
+            for (auto& b : bins) {
+                if (!suits(s, b.type, b.zone, b.spot) || !zone_ok(b.zone)) continue;
+                wire::Resources room = b.room;
+                if (soft) room += b.soft;
+                if (!s.need.fits(room)) continue;
+                auto rank = [&](const Bin& x) { return std::tuple(!x.used, s.spot_ok && !x.spot, x.room.cpus); };
+                if (!best || rank(b) < rank(*best)) best = &b;
+            }
+            if (best) {
+                best->room -= s.need;
+                best->used = true;
+                in_zone[best->zone]++;
+                continue;
+            }
+            if (budget <= 0) return;
+            // The cheapest offer for what is still missing.
+            const wire::MachineType* type = nullptr;
+            Offer pick;
+            double pick_cost = 0;
+            for (auto& [name, t] : cluster.types()) {
+                wire::Resources whole{t.cpus, t.gpus, t.mem_gb};
+                if (!s.need.fits(whole)) continue;
+                double per = 1e9;
+                if (s.need.cpus > 0) per = std::min(per, std::floor(t.cpus / s.need.cpus + 1e-6));
+                if (s.need.gpus > 0) per = std::min(per, std::floor(t.gpus / s.need.gpus + 1e-6));
+                if (s.need.mem_gb > 0) per = std::min(per, std::floor(t.mem_gb / s.need.mem_gb + 1e-6));
+                double use = std::max(1.0, std::min(per, static_cast<double>(n - k)));
+                for (auto& zone : t.zones)
+                    for (bool spot : {true, false}) {
+                        if (!suits(s, name, zone, spot) || !zone_ok(zone)) continue;
+                        Offer offer{name, zone, spot};
+                        if (auto r = refusals_.find(offer); r != refusals_.end() && now < r->second.until) continue;
+                        // Larger machines serve others too: part of the unused room counts as useful.
+                        double cost = (spot ? t.spot_price : t.price) / (0.6 * use + 0.4 * per);
+                        if (!type || cost < pick_cost) type = &t, pick = offer, pick_cost = cost;
+                    }
+            }
+            if (!type) return;
+            bins.push_back({"", pick.type, pick.zone, pick.spot, true, {type->cpus, type->gpus, type->mem_gb}, {}, true});
+            bins.back().room -= s.need;
+            in_zone[pick.zone]++;
+            orders[pick]++;
+            --budget;
+        }
+    };
+    wire::JobSpec headroom;
+    std::uint32_t headroom_tasks = 0;
+    for (int level = 0; level < wire::priority_levels; ++level)
+        for (auto& place : cluster.queue().level(level)) {
+            auto it = cluster.jobs().find(place.id);
+            if (it == cluster.jobs().end()) continue;
+            const Job& job = *it->second;
+            if (job.cancelled || job.errors_in_row > 4) continue;
+            std::uint32_t n = job.waiting.size();
+            if (job.spec.sort == Sort::array) {
+                // Tasks that run one after the other on the same slot need fewer slots.
+                double run = job.run_guess() + 1;
+                double left = std::max(run, time_left(job, cluster.rules(), now));
+                double total = static_cast<double>(n) + static_cast<double>(job.places.size());
+                auto slots = static_cast<std::uint32_t>(std::ceil(total * run / (left + run)));
+                auto running = static_cast<std::uint32_t>(job.places.size());
+                n = std::min(n, slots > running ? slots - running : 0);
+            }
+            cover(&job, job.spec, n, job.spec.priority == wire::Priority::production);
+        }
+    // Room kept for services that may come: what arrived lately within two boot times, at least two tasks.
+    while (!service_arrivals_.empty() && now - service_arrivals_.front().first > secs(120)) service_arrivals_.pop_front();
+    double tasks = 0;
+    for (auto& a : service_arrivals_) tasks += a.second;
+    for (auto& [id, job] : cluster.jobs())
+        if (job->spec.sort == Sort::service) {
+            headroom = job->spec;
+            break;
+        }
+    if (headroom.tasks > 0) {
+        headroom.spread = headroom.one_zone = false;
+        headroom_tasks = static_cast<std::uint32_t>(std::clamp(std::ceil(tasks / 120 * 45), 3.0, 16.0));
+        cover(nullptr, headroom, headroom_tasks, true);
+    }
+    for (auto& [offer, n] : orders) out.rent.push_back({offer, std::min(n, 50)});
+
+    for (auto& b : bins) {
+        if (b.fresh || b.used) continue;
+        auto& m = *cluster.machines().at(b.name);
+        if (!m.up) continue;
+        // A minute is charged in any case; after that a little patience, since work comes all the time.
+        if (now - m.idle_since > secs(12) && now - m.rented > secs(55)) out.give_back.push_back(b.name);
+    }
+    for (auto& [name, m] : cluster.machines()) {
+        if (m->returning) continue;
+        auto t = cluster.types().find(m->type);
+        double boot = t == cluster.types().end() ? 60 : t->second.boot_s;
+        bool never = !m->up && m->entries.empty() && now - m->rented > secs(3 * boot + 15) && now - m->known > secs(20);
+        if (never) {
+            spdlog::warn("machine {} has not come up in {:.0f} s: it is returned", name, Seconds(now - m->rented).count());
+            out.give_back.push_back(name);
+        } else if (m->drain && m->live() == 0) {
+            out.give_back.push_back(name);
+        }
+    }
+    return out;
+}
+
+}  // namespace barrowrun::fleet
--- /dev/null
+++ b/src/fleet/renting.hpp
@@ -0,0 +1,44 @@
+#pragma once
+// How many machines to rent, of which sort, and which to give back.
+#include <map>
+#include <string>
+#include <vector>
+
+#include "placement/cluster.hpp"
+
+namespace barrowrun::fleet {
+
+struct Offer {
+    std::string type, zone;
+    bool spot = false;
+    auto operator<=>(const Offer&) const = default;
+};
+
+struct Order {
+    Offer offer;
+    int count = 0;
+};
+
+struct RentPlan {
+    std::vector<Order> rent;
+    std::vector<std::string> give_back;
+};
+
+class Renting {
+  public:
+    // A refusal for lack of capacity keeps the offer off the list for a while.
+    void refused(const Offer& offer, TimePoint now);
+    void granted(const Offer& offer);
+    RentPlan plan(const placement::Cluster& cluster, TimePoint now);
+    void note_arrival(const wire::JobSpec& spec, TimePoint now);
+
+  private:
+    struct Refusal {
+        TimePoint until{};
+        int row = 0;
+    };
+    std::map<Offer, Refusal> refusals_;
+    std::deque<std::pair<TimePoint, std::uint32_t>> service_arrivals_;  // tasks of services, lately
+};
+
+}  // namespace barrowrun::fleet
--- /dev/null
+++ b/src/net/http_client.cpp
@@ -0,0 +1,79 @@
+#include "net/http_client.hpp"
+
+#include <charconv>
+
+namespace barrowrun::net {
+
+std::optional<asio::ip::tcp::endpoint> parse_endpoint(const std::string& address) {
+    auto colon = address.rfind(':');
+    if (colon == std::string::npos) return std::nullopt;
+    boost::system::error_code ec;
+    auto ip = asio::ip::make_address(address.substr(0, colon), ec);
+    unsigned port = 0;
+    auto [p, err] = std::from_chars(address.data() + colon + 1, address.data() + address.size(), port);
+    if (ec || err != std::errc{} || p != address.data() + address.size() || port == 0 || port > 65535)
+        return std::nullopt;
+    return asio::ip::tcp::endpoint(ip, static_cast<unsigned short>(port));
+}
+
+Task<Reply> HttpClient::call(std::string address, http::verb method, std::string target, std::optional<Json> body,
+                             Clock::duration deadline, std::size_t body_limit) {
+    Reply reply;
+    auto endpoint = parse_endpoint(address);
+    if (!endpoint) co_return reply;
+    std::unique_ptr<Connection> conn;
+    auto now = Clock::now();
+    if (auto it = idle_.find(address); it != idle_.end()) {
+        while (!it->second.empty() && !conn) {
+            conn = std::move(it->second.back());
+            it->second.pop_back();
+            if (now - conn->used > std::chrono::seconds(60)) conn.reset();
+        }
+    }
+    boost::system::error_code ec;
+    auto token = asio::redirect_error(asio::use_awaitable, ec);
+    bool fresh = !conn;
+    if (fresh) {
+        conn = std::make_unique<Connection>(io_, open_);
+        conn->stream.expires_after(deadline);
+        co_await conn->stream.async_connect(*endpoint, token);
+        if (ec) co_return reply;
+        conn->stream.socket().set_option(asio::ip::tcp::no_delay(true), ec);
+        ec = {};
+    } else {
+        conn->stream.expires_after(deadline);
+    }
+    http::request<http::string_body> request{method, target, 11};
+    request.set(http::field::host, address);
+    if (body) {
+        request.set(http::field::content_type, "application/msgpack");
+        request.body() = wire::encode(*body);
+    }
+    request.prepare_payload();
+    reply.may_execute = true;
+    co_await http::async_write(conn->stream, request, token);
+    if (ec) co_return reply;
+    http::response_parser<http::string_body> parser;
+    parser.body_limit(body_limit);
+    co_await http::async_read(conn->stream, conn->buffer, parser, token);
+    if (ec) co_return reply;
+    auto& response = parser.get();
+    reply.status = static_cast<int>(response.result_int());
+    reply.may_execute = false;
+    if (!response.body().empty()) {
+        auto decoded = wire::decode(response.body());
+        if (decoded)
+            reply.body = std::move(*decoded);
+        else
+            reply.garbage = true;
+    }
+    if (response.keep_alive()) {
+        conn->used = Clock::now();
+        conn->stream.expires_never();
+        auto& list = idle_[address];
+        if (list.size() < idle_per_peer_) list.push_back(std::move(conn));
+    }
+    co_return reply;
+}
+
+}  // namespace barrowrun::net
--- /dev/null
+++ b/src/net/http_client.hpp
@@ -0,0 +1,50 @@
+#pragma once
+// A pooled HTTP client with a deadline on every call.
+#include <boost/beast.hpp>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "net/duties.hpp"
+#include "wire/codec.hpp"
+
+namespace barrowrun::net {
+
+namespace beast = boost::beast;
+namespace http = beast::http;
+using wire::Json;
+
+struct Reply {
+    int status = 0;            // 0: no answer
+    bool may_execute = false;  // without an answer: the request may have reached the other side, or still may
+    Json body;
+    bool garbage = false;  // an answer whose body could not be read
+};
+
+class HttpClient {
+  public:
+    HttpClient(asio::io_context& io, std::size_t idle_per_peer = 4) : io_(io), idle_per_peer_(idle_per_peer) {}
+    Task<Reply> call(std::string address, http::verb method, std::string target, std::optional<Json> body,
+                     Clock::duration deadline, std::size_t body_limit = 1 << 20);
+    void forget(const std::string& address) { idle_.erase(address); }
+    std::size_t open() const { return open_; }
+
+  private:
+    struct Connection {
+        beast::tcp_stream stream;
+        beast::flat_buffer buffer;
+        TimePoint used{};
+        std::size_t& open;
+        Connection(asio::io_context& io, std::size_t& n) : stream(io), open(n) { ++open; }
+        ~Connection() { --open; }
+    };
+    asio::io_context& io_;
+    std::size_t idle_per_peer_;
+    std::size_t open_ = 0;
+    std::map<std::string, std::vector<std::unique_ptr<Connection>>> idle_;
+};
+
+std::optional<asio::ip::tcp::endpoint> parse_endpoint(const std::string& address);
+
+}  // namespace barrowrun::net
--- /dev/null
+++ b/src/placement/cluster.cpp
@@ -0,0 +1,857 @@
+#include "placement/cluster.hpp"
+
+#include <spdlog/spdlog.h>
+
+#include <algorithm>
+#include <cmath>
+
+namespace barrowrun::placement {
+using fleet::Change;
+using wire::Cause;
+using wire::Priority;
+using wire::Sort;
+using wire::TaskState;
+
+wire::Standing Job::standing() const {
+    if (cancel_durable) return wire::Standing::cancelled;
+    if (finished() && durable_done.size() == spec.tasks) return wire::Standing::done;
+    return places.empty() ? wire::Standing::queued : wire::Standing::running;
+}
+
+void Cluster::set_types(std::vector<wire::MachineType> types) {
+    for (auto& t : types) types_[t.name] = t;
+    for (auto& [name, m] : machines_) {
+        auto it = types_.find(m->type);
+        if (it == types_.end()) continue;
+        m->capacity = {it->second.cpus, it->second.gpus, it->second.mem_gb};
+        m->cache_gb = it->second.cache_gb;
+        m->fetch_gb_per_s = it->second.fetch_gb_per_s;
+    }
+}
+
+// ---- jobs ----------------------------------------------------------------------------------------------
+
+Job& Cluster::add_job(const state::JobRecord& record, const state::Progress* progress, TimePoint now,
+                      std::int64_t wall_ms) {
+    auto [it, fresh] = jobs_.try_emplace(record.spec.id);
+    if (!fresh) return *it->second;
+    it->second = std::make_unique<Job>();
+    Job& job = *it->second;
+    job.spec = record.spec;
+    job.accepted_ms = record.accepted_ms;
+    job.accepted = now - std::chrono::milliseconds(std::clamp<std::int64_t>(wall_ms - record.accepted_ms, 0, 86'400'000));
+    if (progress) {
+        job.done = job.durable_done = progress->done;
+        job.cancelled = job.cancel_durable = progress->cancelled;
+        job.progress_written = true;
+    }
+    if (!job.cancelled) {
+        if (job.done.empty()) {
+            job.waiting = IndexSet::full(job.spec.tasks);
+        } else {
+            for (std::uint32_t i = 0; i < job.spec.tasks; ++i)
+                if (!job.done.contains(i)) job.waiting.insert(i);
+        }
+        queue_.set_waiting(job.spec.priority, {job.accepted_ms, job.spec.id}, 0, job.waiting.size());
+    }
+    if (job.cancelled || job.finished()) mark_dirty(job);
+    return job;
+}
+
+Job* Cluster::find_job(const std::string& id) {
+    auto it = jobs_.find(id);
+    return it == jobs_.end() ? nullptr : it->second.get();
+}
+
+std::optional<state::PastRecord> Cluster::past(const std::string& id) const {
+    auto it = past_.find(id);
+    if (it == past_.end()) return std::nullopt;
+    return it->second;
+}
+
+void Cluster::set_waiting(Job& job, std::uint32_t index, bool waiting) {
+    std::uint64_t before = job.waiting.size();
+    if (waiting)
+        job.waiting.insert(index);
+    else
+        job.waiting.erase(index);
+    if (job.waiting.size() != before)
+        queue_.set_waiting(job.spec.priority, {job.accepted_ms, job.spec.id}, before, job.waiting.size());
+}
+
+void Cluster::mark_dirty(Job& job) {
+    job.dirty = true;
+    dirty_jobs_.insert(job.spec.id);
+}
+
+void Cluster::cancel(Job& job, TimePoint now) {
+    if (job.cancelled) return;
+    job.cancelled = true;
+    queue_.set_waiting(job.spec.priority, {job.accepted_ms, job.spec.id}, job.waiting.size(), 0);
+    job.waiting = {};
+    // Nobody has any use for what its tasks do from here on: no grace.
+    auto places = job.places;
+    for (auto& [index, list] : places)
+        for (auto& [name, number] : list)
+            if (Machine* m = find_machine(name)) {
+                Attempt a{{job.spec.id, index}, number};
+                auto it = m->entries.find(a);
+                if (it != m->entries.end()) note_stop(*m, a, it->second, 0, now, "cancelled");
+            }
+    mark_dirty(job);
+}
+
+void Cluster::unplace(Job& job, std::uint32_t index, const std::string& machine, std::uint64_t attempt) {
+    auto it = job.places.find(index);
+    if (it != job.places.end()) {
+        std::erase(it->second, std::pair(machine, attempt));
+        if (!it->second.empty()) return;
+        job.places.erase(it);
+    }
+    if (!job.done.contains(index) && !job.cancelled) set_waiting(job, index, true);
+    if ((job.cancelled || job.finished()) && job.places.empty()) mark_dirty(job);
+}
+
+void Cluster::finish_task(Job& job, std::uint32_t index, TimePoint now) {
+    if (!job.done.insert(index)) return;
+    set_waiting(job, index, false);
+    job.last_done = now;
+    mark_dirty(job);
+}
+
+// ---- machines ------------------------------------------------------------------------------------------
+
+Machine* Cluster::find_machine(const std::string& name) {
+    auto it = machines_.find(name);
+    return it == machines_.end() ? nullptr : it->second.get();
+}
+
+Machine& Cluster::add_machine(const std::string& name, const std::string& type, const std::string& zone, bool spot,
+                              TimePoint now) {
+    auto [it, fresh] = machines_.try_emplace(name);
+    if (!fresh) return *it->second;
+    it->second = std::make_unique<Machine>();
+    Machine& m = *it->second;
+    m.name = name;
+    m.type = type;
+    m.zone = zone;
+    m.spot = spot;
+    m.known = m.rented = m.idle_since = now;
+    if (auto t = types_.find(type); t != types_.end()) {
+        m.capacity = {t->second.cpus, t->second.gpus, t->second.mem_gb};
+        m.cache_gb = t->second.cache_gb;
+        m.fetch_gb_per_s = t->second.fetch_gb_per_s;
+    }
+    return m;
+}
+
+void Cluster::inherit(const std::string& name, const state::MachineRecord& record, TimePoint now,
+                      std::int64_t wall_ms) {
+    Machine& m = add_machine(name, record.type, record.zone, record.spot, now);
+    m.address = record.address;
+    if (record.rented_ms)
+        m.rented = now - std::chrono::milliseconds(std::clamp<std::int64_t>(wall_ms - record.rented_ms, 0, 86'400'000));
+    m.recorded = record.attempts;
+    for (auto& a : record.attempts) {
+        Entry e;
+        e.phase = Phase::inherited;
+        e.since = now;
+        Job* job = find_job(a.task.job);
+        if (job) {
+            e.need = job->spec.need;
+            job->places[a.task.index].emplace_back(name, a.number);
+            set_waiting(*job, a.task.index, false);
+            if (job->cancelled) e.stop = true;
+        } else {
+            e.stop = true;
+        }
+        m.entries.emplace(a, e);
+    }
+}
+
+void Cluster::machine_gone(const std::string& name, const char* proof, TimePoint now) {
+    auto it = machines_.find(name);
+    if (it == machines_.end()) return;
+    Machine& m = *it->second;
+    std::vector<Change> changes;
+    std::size_t n = m.live();
+    m.clear(changes);
+    if (n) spdlog::info("machine {} is gone ({}), {} tasks move", name, proof, n);
+    else spdlog::info("machine {} is gone ({})", name, proof);
+    apply(m, changes, now);
+    enqueue({state::machine_key(name), std::nullopt, {}});
+    dirty_machines_.erase(name);
+    machines_.erase(it);
+}
+
+void Cluster::lease_over(Machine& m, TimePoint now) {
+    // The worker has killed and forgotten everything; launches still on their way name its old session.
+    std::vector<Change> changes;
+    std::size_t n = m.live();
+    m.clear(changes);
+    if (n) spdlog::info("machine {}: its lease has run out, {} tasks move", m.name, n);
+    apply(m, changes, now);
+}
+
+bool Cluster::on_report(const wire::Report& report, bool hello, TimePoint now) {
+    Machine* known = find_machine(report.machine);
+    if (!known) {
+        known = &add_machine(report.machine, report.type, report.zone, report.spot, now);
+        spdlog::info("machine {} ({}, {}{}) reports for the first time", report.machine, report.type, report.zone,
+                     report.spot ? ", spot" : "");
+        mark_machine_dirty(report.machine);
+    }
+    Machine& m = *known;
+    bool first = !m.up;
+    std::string old_address = m.address;
+    std::vector<Change> changes;
+    if (!m.apply(report, hello, first_token_, now, changes)) return false;
+    if (first) {
+        if (m.type.empty()) {
+            m.type = report.type, m.zone = report.zone, m.spot = report.spot;
+            if (auto t = types_.find(m.type); t != types_.end()) {
+                m.capacity = {t->second.cpus, t->second.gpus, t->second.mem_gb};
+                m.cache_gb = t->second.cache_gb;
+            }
+        }
+        m.idle_since = now;
+        // The address must be on record: a successor asks every known worker.
+        if (m.address != old_address) mark_machine_dirty(m.name);
+    }
+    apply(m, changes, now);
+    reconcile_reported(m, now);
+    if (m.live() > 0) m.idle_since = now;
+    return true;
+}
+
+void Cluster::apply(Machine& m, const std::vector<Change>& changes, TimePoint now) {
+    for (auto& c : changes) {
+        Job* job = find_job(c.attempt.task.job);
+        auto index = c.attempt.task.index;
+        if (job && index >= job->spec.tasks) job = nullptr;
+        switch (c.kind) {
+            case Change::adopted: {
+                auto it = m.entries.find(c.attempt);
+                if (it == m.entries.end()) break;
+                if (!job) break;
+                it->second.need = job->spec.need;
+                auto& list = job->places[index];
+                std::pair<std::string, std::uint64_t> here{m.name, c.attempt.number};
+                if (std::find(list.begin(), list.end(), here) == list.end()) list.push_back(here);
+                set_waiting(*job, index, false);
+                break;
+            }
+            case Change::started:
+                if (job) m.use_image(job->spec.image, job->spec.image_gb);
+                break;
+            case Change::ended:
+                ended(m, c.attempt, c.entry, now);
+                break;
+            case Change::vanished:
+                if (!job) break;
+                if (c.entry.phase != Phase::recording && c.entry.phase != Phase::ready)
+                    spdlog::debug("{} attempt {} is no longer on {}", c.attempt.task.str(), c.attempt.number, m.name);
+                unplace(*job, index, m.name, c.attempt.number);
+                if (job->spec.sort == Sort::gang && !job->finished()) stop_gang(*job, 0, now, "a gang task is gone");
+                break;
+        }
+    }
+}
+
+void Cluster::ended(Machine& m, const Attempt& a, const Entry& e, TimePoint now) {
+    touch(m.name);
+    Job* job = find_job(a.task.job);
+    if (!job || a.task.index >= job->spec.tasks) return;
+    bool counted = e.running != TimePoint{} && e.running > e.since;
+    double ran = counted ? Seconds(now - e.running).count() : 0;
+    switch (e.cause) {
+        case Cause::done:
+            m.successes++;
+            m.errors = 0;
+            job->errors_in_row = 0;
+            if (counted && job->spec.sort == Sort::array) {
+                job->run_sum += ran;
+                job->runs++;
+            }
+            if (job->spec.sort == Sort::gang) {
+                for (std::uint32_t i = 0; i < job->spec.tasks; ++i) finish_task(*job, i, now);
+            } else {
+                finish_task(*job, a.task.index, now);
+            }
+            break;
+        case Cause::error:
+            m.errors++;
+            job->errors_in_row++;
+            job->failed_on.insert(m.name);
+            // A job that fails everywhere must not burn machines: its tries grow rarer.
+            job->retry_at = now + secs(std::min(30.0, 0.5 * std::pow(2.0, std::min(job->errors_in_row, 8))));
+            spdlog::info("{} failed on {} ({} errors in a row there, {} for the job)", a.task.str(), m.name, m.errors,
+                         job->errors_in_row);
+            break;
+        case Cause::no_room:
+        case Cause::busy:
+        case Cause::unknown:
+            spdlog::info("{} refused a start of {}: {}", m.name, a.task.str(), wire::cause_name(e.cause));
+            job->retry_at = now + secs(1);
+            break;
+        default:
+            spdlog::debug("{} ended on {}: {}{}", a.task.str(), m.name, wire::cause_name(e.cause),
+                          e.saved ? ", saved" : "");
+            break;
+    }
+    unplace(*job, a.task.index, m.name, a.number);
+    if (job->spec.sort == Sort::gang && e.cause != Cause::done && !job->finished() && !e.stop)
+        stop_gang(*job, 0, now, "a gang task ended");
+}
+
+// Tasks that a worker reports but that nobody has any use for are stopped.
+void Cluster::reconcile_reported(Machine& m, TimePoint now) {
+    for (auto& [a, e] : m.entries) {
+        if (e.phase != Phase::seen) continue;
+        if (e.exited()) {
+            touch(m.name);
+            continue;
+        }
+        if (e.stop) continue;
+        Job* job = find_job(a.task.job);
+        if (!job) {
+            note_stop(m, a, e, 0, now, "of no known job");
+        } else if (job->cancelled) {
+            note_stop(m, a, e, 0, now, "of a cancelled job");
+        } else if (job->done.contains(a.task.index)) {
+            if (job->spec.sort != Sort::gang) note_stop(m, a, e, 0, now, "done elsewhere");
+        } else if (auto it = job->places.find(a.task.index); it != job->places.end() && it->second.size() > 1) {
+            // Only records of a predecessor can name two places; the others resolve by themselves.
+            for (auto& [name, number] : it->second) {
+                if (name == m.name && number == a.number) continue;
+                Machine* other = find_machine(name);
+                if (!other) continue;
+                auto o = other->entries.find({a.task, number});
+                if (o != other->entries.end() && o->second.phase == Phase::seen && !o->second.exited() &&
+                    number < a.number) {
+                    spdlog::error("{} is on {} and on {}", a.task.str(), name, m.name);
+                    note_stop(m, a, e, 0, now, "also elsewhere");
+                }
+            }
+        }
+    }
+}
+
+void Cluster::note_stop(Machine& m, const Attempt& a, Entry& e, double grace, TimePoint now, const char* why) {
+    if (e.exited()) return;
+    if (e.stop && e.grace_s <= grace) return;
+    spdlog::debug("stop {} on {}: {}", a.task.str(), m.name, why);
+    e.stop = true;
+    e.grace_s = grace;
+    e.stop_at = now;
+    touch(m.name);
+}
+
+void Cluster::stop_gang(Job& job, double grace, TimePoint now, const char* why) {
+    for (auto& [index, list] : job.places)
+        for (auto& [name, number] : list)
+            if (Machine* m = find_machine(name)) {
+                auto it = m->entries.find({{job.spec.id, index}, number});
+                if (it != m->entries.end()) note_stop(*m, it->first, it->second, grace, now, why);
+            }
+}
+
+bool Cluster::may_reap(const Attempt& a, const Entry& e) const {
+    if (e.cause != Cause::done) return true;
+    auto it = jobs_.find(a.task.job);
+    // A result is let go once it is on record.
+    return it == jobs_.end() || it->second->cancelled || it->second->durable_done.contains(a.task.index);
+}
+
+// Entries whose start was never sent can simply be dropped when they are to be stopped.
+static void drop_unsent(Machine& m, std::vector<Attempt>& dropped) {
+    for (auto it = m.entries.begin(); it != m.entries.end();) {
+        if (it->second.stop && !it->second.late && !it->second.in_flight &&
+            (it->second.phase == Phase::recording || it->second.phase == Phase::ready)) {
+            dropped.push_back(it->first);
+            it = m.entries.erase(it);
+        } else {
+            ++it;
+        }
+    }
+}
+
+std::vector<wire::Command> Cluster::reply_commands(Machine& m, TimePoint now) {
+    std::vector<Attempt> dropped;
+    drop_unsent(m, dropped);
+    for (auto& a : dropped)
+        if (Job* job = find_job(a.task.job)) unplace(*job, a.task.index, m.name, a.number);
+    // Launches go by push where the address answers; a response carries them where it does not.
+    auto out = m.commands(now, !m.push_ok, [this](auto& a, auto& e) { return may_reap(a, e); });
+    for (auto& c : out)
+        if (c.verb == wire::Verb::launch) {
+            Entry& e = m.entries.at(c.attempt);
+            e.phase = Phase::replied;
+            e.reply_seq = m.seq;
+        }
+    return out;
+}
+
+std::vector<wire::Command> Cluster::push_commands(Machine& m, TimePoint now) {
+    std::vector<Attempt> dropped;
+    drop_unsent(m, dropped);
+    for (auto& a : dropped)
+        if (Job* job = find_job(a.task.job)) unplace(*job, a.task.index, m.name, a.number);
+    auto out = m.commands(now, true, [this](auto& a, auto& e) { return may_reap(a, e); });
+    // A response is at most 64 KiB, and so is a report.
+    if (out.size() > 300) out.resize(300);
+    for (auto& c : out)
+        if (c.verb == wire::Verb::launch) {
+            Entry& e = m.entries.at(c.attempt);
+            e.phase = Phase::pushed;
+            e.in_flight = true;
+            e.sent_token = token_;
+        }
+    return out;
+}
+
+void Cluster::push_answered(Machine& m, const std::vector<wire::Command>& sent, std::uint64_t token, bool executed,
+                            bool may_execute, TimePoint) {
+    for (auto& c : sent) {
+        if (c.verb != wire::Verb::launch) continue;
+        auto it = m.entries.find(c.attempt);
+        if (it == m.entries.end()) continue;
+        Entry& e = it->second;
+        e.in_flight = false;
+        if (executed) continue;  // the report that came with the answer has settled it, or will
+        if (may_execute) {
+            e.late = true;
+            e.sent_token = std::max(e.sent_token, token);
+        } else if (e.phase == Phase::pushed && !e.late) {
+            e.phase = Phase::ready;
+        }
+    }
+}
+
+bool Cluster::unsettled(TimePoint now) const {
+    for (auto& [name, m] : machines_)
+        for (auto& [a, e] : m->entries)
+            if (e.late && e.sent_token >= token_ && m->token_seen <= e.sent_token && now - e.since > secs(3)) return true;
+    return false;
+}
+
+// ---- decisions -----------------------------------------------------------------------------------------
+
+bool Cluster::usable(const Machine& m, TimePoint now) const {
+    return m.up && !m.returning && !m.drain && !m.suspect && !m.taken_at && m.capacity.mem_gb > 0 &&
+           now - m.last_report < secs(rules_.report_s * 1.25 + 1.5);
+}
+
+bool Cluster::gpu_reserved(const wire::JobSpec& spec, const wire::MachineType& t) const {
+    if (t.gpus <= 0 || spec.need.gpus > 0) return false;
+    for (auto& [name, other] : types_)
+        if (other.gpus <= 0 && spec.need.fits({other.cpus, other.gpus, other.mem_gb}) &&
+            (!spec.types || std::find(spec.types->begin(), spec.types->end(), name) != spec.types->end()))
+            return true;
+    return false;
+}
+
+bool Cluster::allowed(const wire::JobSpec& spec, const Machine& m) const {
+    if (m.spot && !spec.spot_ok) return false;
+    if (spec.zone && *spec.zone != m.zone) return false;
+    if (spec.types && std::find(spec.types->begin(), spec.types->end(), m.type) == spec.types->end()) return false;
+    if (auto t = types_.find(m.type); t != types_.end() && gpu_reserved(spec, t->second)) return false;
+    return true;
+}
+
+bool Cluster::fits_some_type(const wire::JobSpec& spec) const {
+    for (auto& [name, t] : types_) {
+        if (spec.types && std::find(spec.types->begin(), spec.types->end(), name) == spec.types->end()) continue;
+        if (spec.zone && std::find(t.zones.begin(), t.zones.end(), *spec.zone) == t.zones.end()) continue;
+        if (spec.need.fits({t.cpus, t.gpus, t.mem_gb})) return true;
+    }
+    return false;
+}
+
+bool Cluster::zone_ok(const Job& job, const std::string& zone) const {
+    if (!job.spec.spread && !job.spec.one_zone) return true;
+    std::uint32_t here = 0, elsewhere = 0;
+    for (auto& [index, list] : job.places)
+        for (auto& [name, number] : list) {
+            auto it = machines_.find(name);
+            if (it == machines_.end()) continue;
+            (it->second->zone == zone ? here : elsewhere)++;
+        }
+    if (job.spec.one_zone && elsewhere > 0) return false;
+    if (job.spec.spread && here + 1 > (job.spec.tasks + 1) / 2) return false;
+    return true;
+}
+
+bool Cluster::team_has_room(const Job& job, std::uint32_t tasks) const {
+    auto limits = rules_.teams.find(job.spec.team);
+    if (limits == rules_.teams.end()) return true;
+    wire::Resources used;
+    if (auto it = usage_.find(job.spec.team); it != usage_.end()) used = it->second;
+    const auto& l = limits->second;
+    if (l.cpus_max > 0 && used.cpus + job.spec.need.cpus * tasks > l.cpus_max + 1e-6) return false;
+    if (l.gpus_max > 0 && used.gpus + job.spec.need.gpus * tasks > l.gpus_max + 1e-6) return false;
+    return true;
+}
+
+Machine* Cluster::choose(const Job& job, TimePoint now, const std::map<std::string, wire::Resources>& taken) {
+    Machine* best = nullptr;
+    double best_score = 0;
+    for (auto& [name, mp] : machines_) {
+        Machine& m = *mp;
+        if (!usable(m, now) || !allowed(job.spec, m)) continue;
+        wire::Resources room = m.room();
+        if (auto t = taken.find(name); t != taken.end()) room -= t->second;
+        if (auto r = reserved_.find(name); r != reserved_.end()) room -= r->second;
+        if (!job.spec.need.fits(room)) continue;
+        if (!zone_ok(job, m.zone)) continue;
+        double score = 0;
+        double fetch_s = m.has_image(job.spec.image) ? 0
+                         : m.fetching(job.spec.image) ? 0.5 * job.spec.image_gb / m.fetch_gb_per_s
+                                                      : job.spec.image_gb / m.fetch_gb_per_s;
+        score -= fetch_s * (job.spec.sort == Sort::service ? 10.0 : 1.0);
+        if (job.spec.spot_ok && m.spot) score += 8;
+        if (job.failed_on.contains(name)) score -= 1000;
+        score -= m.errors * 20.0;
+        score -= (m.slowness - 1.0) * 30.0;
+        // The tightest fit keeps other machines whole.
+        if (m.capacity.cpus > 0) score -= 3.0 * (room.cpus - job.spec.need.cpus) / m.capacity.cpus;
+        if (!best || score > best_score) best = &m, best_score = score;
+    }
+    return best;
+}
+
+void Cluster::place(Job& job, std::uint32_t index, Machine& m, std::uint64_t attempt, TimePoint now) {
+    Attempt a{{job.spec.id, index}, attempt};
+    Entry e;
+    e.since = now;
+    e.need = job.spec.need;
+    m.entries.emplace(a, e);
+    m.idle_since = now;
+    if (!m.has_image(job.spec.image)) m.note_fetch(job.spec.image, job.spec.image_gb);
+    job.places[index].emplace_back(m.name, attempt);
+    set_waiting(job, index, false);
+    usage_[job.spec.team] += job.spec.need;
+    mark_machine_dirty(m.name);
+    spdlog::debug("place {} attempt {} on {}", a.task.str(), attempt, m.name);
+}
+
+bool Cluster::place_gang(Job& job, TimePoint now) {
+    // All or none: every task of the earlier attempt must be gone, and room must show for all at once.
+    if (job.waiting.size() != job.spec.tasks || !job.places.empty()) return false;
+    if (!team_has_room(job, job.spec.tasks)) return false;
+    std::vector<std::string> zones{""};
+    if (job.spec.one_zone) {
+        std::set<std::string> all;
+        for (auto& [name, m] : machines_) all.insert(m->zone);
+        zones.assign(all.begin(), all.end());
+    }
+    for (auto& zone : zones) {
+        std::vector<Machine*> where;
+        std::map<std::string, wire::Resources> taken;
+        std::map<std::string, std::uint32_t> in_zone;
+        for (std::uint32_t i = 0; i < job.spec.tasks; ++i) {
+            Machine* best = nullptr;
+            double best_score = 0;
+            for (auto& [name, mp] : machines_) {
+                Machine& m = *mp;
+                if (!zone.empty() && m.zone != zone) continue;
+                if (!usable(m, now) || !allowed(job.spec, m) || m.slowness > 1.8) continue;
+                if (job.spec.spread && in_zone[m.zone] + 1 > (job.spec.tasks + 1) / 2) continue;
+                wire::Resources room = m.room();
+                if (auto t = taken.find(name); t != taken.end()) room -= t->second;
+                if (auto r = reserved_.find(name); r != reserved_.end()) room -= r->second;
+                if (!job.spec.need.fits(room)) continue;
+                double score = (m.has_image(job.spec.image) ? 0 : -job.spec.image_gb / m.fetch_gb_per_s) -
+                               (job.failed_on.contains(name) ? 1000 : 0) - m.errors * 20.0 + (m.spot ? 2 : 0) -
+                               (room.cpus - job.spec.need.cpus) / std::max(1.0, m.capacity.cpus);
+                if (!best || score > best_score) best = &m, best_score = score;
+            }
+            if (!best) break;
+            where.push_back(best);
+            taken[best->name] += job.spec.need;
+            in_zone[best->zone]++;
+        }
+        if (where.size() != job.spec.tasks) continue;
+        std::uint64_t attempt = next_attempt();
+        for (std::uint32_t i = 0; i < job.spec.tasks; ++i) place(job, i, *where[i], attempt, now);
+        job.gang_started = now;
+        spdlog::info("gang {} starts as attempt {} on {} machines", job.spec.id, attempt, taken.size());
+        return true;
+    }
+    return false;
+}
+
+wire::Resources Cluster::preemptible(const Machine& m, Priority level) const {
+    wire::Resources r;
+    for (auto& [a, e] : m.entries) {
+        if (e.exited() || e.stop) continue;
+        auto it = jobs_.find(a.task.job);
+        if (it == jobs_.end()) continue;
+        if (it->second->spec.priority > level && it->second->spec.sort != Sort::service) r += e.need;
+    }
+    return r;
+}
+
+// Lower work makes room for production and urgent work. Room that is already being made is waited for.
+bool Cluster::preempt_for(Job& job, TimePoint now) {
+    if (job.spec.priority > Priority::high) return false;
+    struct Plan {
+        Machine* machine = nullptr;
+        std::vector<Attempt> victims;
+        double cost = 0;
+    } best;
+    for (auto& [name, mp] : machines_) {
+        Machine& m = *mp;
+        if (!usable(m, now) || !allowed(job.spec, m) || !zone_ok(job, m.zone) || m.slowness > 1.8) continue;
+        wire::Resources room = m.room();
+        for (auto& [a, e] : m.entries)
+            if (e.stop && !e.exited()) room += e.need;
+        if (auto r = reserved_.find(name); r != reserved_.end()) room -= r->second;
+        if (job.spec.need.fits(room)) {
+            // Stopped tasks are on their way out here.
+            reserved_[name] += job.spec.need;
+            return false;
+        }
+        struct Victim {
+            Attempt a;
+            wire::Resources need;
+            double cost;
+        };
+        std::vector<Victim> list;
+        for (auto& [a, e] : m.entries) {
+            if (e.exited() || e.stop) continue;
+            Job* other = find_job(a.task.job);
+            if (!other || other->spec.priority <= job.spec.priority || other->spec.sort == Sort::service) continue;
+            if (other->spec.sort == Sort::gang && other->spec.tasks > 1) continue;
+            double ran = e.running == TimePoint{} ? 0 : Seconds(now - e.running).count();
+            double lost = other->spec.checkpoint_s > 0 ? std::min(ran, 2.0) + other->spec.save_s : ran;
+            list.push_back({a, e.need, (lost + 2) * std::max(0.1, e.need.cpus) -
+                                           10.0 * static_cast<double>(other->spec.priority)});
+        }
+        std::sort(list.begin(), list.end(), [](auto& x, auto& y) { return x.cost < y.cost; });
+        Plan plan{&m, {}, m.has_image(job.spec.image) ? 0 : 10 * job.spec.image_gb / m.fetch_gb_per_s};
+        for (auto& v : list) {
+            if (job.spec.need.fits(room)) break;
+            room += v.need;
+            plan.victims.push_back(v.a);
+            plan.cost += v.cost;
+        }
+        if (!job.spec.need.fits(room) || plan.victims.empty()) continue;
+        if (!best.machine || plan.cost < best.cost) best = std::move(plan);
+    }
+    if (!best.machine) return false;
+    spdlog::info("{} makes room on {}: {} lower tasks stop", job.spec.id, best.machine->name, best.victims.size());
+    for (auto& a : best.victims) {
+        Job* other = find_job(a.task.job);
+        note_stop(*best.machine, a, best.machine->entries.at(a), other ? grace_for(*other) : 0, now, "preempted");
+    }
+    reserved_[best.machine->name] += job.spec.need;
+    return true;
+}
+
+bool Cluster::round(TimePoint now) {
+    usage_.clear();
+    reserved_.clear();
+    for (auto& [name, m] : machines_)
+        for (auto& [a, e] : m->entries)
+            if (!e.exited())
+                if (Job* job = find_job(a.task.job)) usage_[job->spec.team] += e.need;
+    bool acted = false;
+    std::size_t placed = 0;
+    // Shapes that fitted nowhere in this round need not be tried again: room only shrinks during a round. So
+    // a long queue of like tasks costs one look, not a walk over all machines for each.
+    std::set<std::string> misfits;
+    const std::map<std::string, wire::Resources> none;
+    for (int level = 0; level < wire::priority_levels; ++level) {
+        std::vector<std::string> order;
+        for (auto& p : queue_.level(level)) order.push_back(p.id);
+        for (auto& id : order) {
+            if (placed >= 400) return true;
+            Job* job = find_job(id);
+            if (!job || job->cancelled || now < job->retry_at) continue;
+            const auto& s = job->spec;
+            std::string shape = fmt::format("{:.3f}/{:.3f}/{:.3f}/{}/{}", s.need.cpus, s.need.gpus, s.need.mem_gb,
+                                            s.spot_ok, s.zone.value_or(""));
+            if (s.types)
+                for (auto& t : *s.types) shape += "/" + t;
+            if (misfits.contains(shape) && s.priority > Priority::high) continue;
+            if (s.sort == Sort::gang) {
+                if (place_gang(*job, now)) {
+                    placed += s.tasks;
+                    acted = true;
+                } else if (job->places.empty()) {
+                    if (s.tasks == 1) acted |= preempt_for(*job, now);
+                    if (!s.one_zone && !s.spread && s.tasks == 1) misfits.insert(shape);
+                }
+                continue;
+            }
+            while (!job->waiting.empty() && placed < 400) {
+                if (!team_has_room(*job, 1)) break;
+                std::uint32_t index = *job->waiting.first();
+                Machine* m = misfits.contains(shape) ? nullptr : choose(*job, now, none);
+                // The worker refuses a second attempt of a task that it still lists.
+                if (m && m->holds_task({id, index})) {
+                    touch(m->name);
+                    break;
+                }
+                if (!m) {
+                    if (!s.spread && !s.one_zone) misfits.insert(shape);
+                    if (s.priority <= Priority::high) {
+                        // One try of preemption for each task that waits, within reason.
+                        std::uint32_t tries = std::min<std::uint32_t>(job->waiting.size(), 16);
+                        for (std::uint32_t k = 0; k < tries; ++k) acted |= preempt_for(*job, now);
+                    }
+                    break;
+                }
+                place(*job, index, *m, next_attempt(), now);
+                ++placed;
+                acted = true;
+            }
+        }
+    }
+    return acted;
+}
+
+void Cluster::tick(TimePoint now) {
+    for (auto& [name, mp] : machines_) {
+        Machine& m = *mp;
+        if (m.live() > 0) m.idle_since = now;
+        if (m.errors >= 3 && !m.drain) {
+            std::set<std::string> failing;
+            for (auto& [id, job] : jobs_)
+                if (job->failed_on.contains(name) && job->failed_on.size() < 3) failing.insert(id);
+            if (!failing.empty()) {
+                spdlog::warn("machine {} fails its tasks ({} in a row): it is emptied and returned", name, m.errors);
+                m.drain = true;
+            } else {
+                m.errors = 0;
+            }
+        }
+        if (m.taken_at || m.drain) {
+            for (auto& [a, e] : m.entries) {
+                if (e.exited() || e.stop) continue;
+                Job* job = find_job(a.task.job);
+                if (!job) continue;
+                if (job->spec.checkpoint_s > 0 && e.phase == Phase::seen && e.state == TaskState::running) {
+                    if (job->spec.sort == Sort::gang)
+                        stop_gang(*job, grace_for(*job), now, "its machine goes away");
+                    else
+                        note_stop(m, a, e, grace_for(*job), now, "its machine goes away");
+                } else if (m.drain && job->spec.sort != Sort::gang) {
+                    note_stop(m, a, e, 0, now, "its machine is emptied");
+                }
+            }
+        }
+    }
+}
+
+// ---- writes --------------------------------------------------------------------------------------------
+
+std::vector<Write> Cluster::take_writes(std::size_t max_ops, std::size_t max_bytes, TimePoint now) {
+    std::vector<Write> out;
+    std::size_t bytes = 0;
+    auto add = [&](Write w) {
+        // The limits are counted as JSON text; MessagePack is never longer by much, so measure as JSON.
+        bytes += w.key.size() + 40 + (w.value ? w.value->dump(-1, ' ', false, wire::Json::error_handler_t::replace).size() : 0);
+        out.push_back(std::move(w));
+    };
+    auto full = [&] { return out.size() >= max_ops || bytes >= max_bytes; };
+    while (!queued_.empty() && !full()) {
+        add(std::move(queued_.front()));
+        queued_.pop_front();
+    }
+    std::int64_t wall =
+        std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::system_clock::now().time_since_epoch()).count();
+    while (!dirty_machines_.empty() && !full()) {
+        std::string name = *dirty_machines_.begin();
+        dirty_machines_.erase(dirty_machines_.begin());
+        Machine* m = find_machine(name);
+        if (!m) continue;
+        state::MachineRecord r;
+        r.address = m->address, r.type = m->type, r.zone = m->zone, r.spot = m->spot;
+        r.rented_ms = wall - std::chrono::duration_cast<std::chrono::milliseconds>(now - m->rented).count();
+        std::vector<Attempt> fresh;
+        for (auto& [a, e] : m->entries) {
+            if (e.exited() && !e.late) continue;
+            r.attempts.push_back(a);
+            if (e.phase == Phase::recording) fresh.push_back(a);
+        }
+        Write w{state::machine_key(name), state::to_json(r), {}};
+        w.durable = [this, name, fresh] {
+            Machine* mm = find_machine(name);
+            if (!mm) return;
+            for (auto& a : fresh) {
+                auto it = mm->entries.find(a);
+                if (it != mm->entries.end() && it->second.phase == Phase::recording) it->second.phase = Phase::ready;
+            }
+            touch(name);
+        };
+        add(std::move(w));
+    }
+    while (!dirty_jobs_.empty() && out.size() + 3 <= max_ops && bytes < max_bytes) {
+        std::string id = *dirty_jobs_.begin();
+        dirty_jobs_.erase(dirty_jobs_.begin());
+        Job* job = find_job(id);
+        if (!job || job->past) continue;
+        job->dirty = false;
+        bool over = job->cancelled ? (job->cancel_durable && job->places.empty()) : job->finished();
+        if (over) {
+            state::PastRecord past{job->cancelled ? wire::Standing::cancelled : wire::Standing::done, job->done.size()};
+            add({state::past_key(id), state::to_json(past), [this, id, past] {
+                     Job* j = find_job(id);
+                     if (!j) return;
+                     spdlog::debug("job {} is over: {}", id, wire::standing_name(past.standing));
+                     past_[id] = past;
+                     for (auto& [index, list] : j->places)
+                         for (auto& [name, number] : list) touch(name);
+                     queue_.set_waiting(j->spec.priority, {j->accepted_ms, id}, j->waiting.size(), 0);
+                     for (auto& [name, m] : machines_)
+                         for (auto& [a, e] : m->entries)
+                             if (a.task.job == id) touch(name);
+                     jobs_.erase(id);
+                 }});
+            add({state::job_key(id), std::nullopt, {}});
+            if (job->progress_written) add({state::progress_key(id), std::nullopt, {}});
+        } else {
+            state::Progress p{job->done, job->cancelled};
+            add({state::progress_key(id), state::to_json(p, job->spec.tasks), [this, id, p] {
+                     Job* j = find_job(id);
+                     if (!j) return;
+                     j->durable_done = p.done;
+                     if (p.cancelled) {
+                         j->cancel_durable = true;
+                         if (j->places.empty()) mark_dirty(*j);
+                     }
+                     for (auto& [name, m] : machines_)
+                         for (auto& [a, e] : m->entries)
+                             if (e.exited() && a.task.job == id) touch(name);
+                 }});
+            job->progress_written = true;
+        }
+    }
+    return out;
+}
+
+void Cluster::write_failed(std::vector<Write> writes) {
+    // Values are absolute: machines and jobs are written anew from what is known by then.
+    std::deque<Write> again;
+    for (auto& w : writes) {
+        if (w.key.starts_with("machines/") && w.value) {
+            dirty_machines_.insert(w.key.substr(9));
+        } else if (w.key.starts_with("progress/") && w.value) {
+            dirty_jobs_.insert(w.key.substr(9));
+        } else if (w.key.starts_with("past/")) {
+            dirty_jobs_.insert(w.key.substr(5));
+        } else if (w.key.starts_with("jobs/") || w.key.starts_with("progress/")) {
+            // goes with its past/ record
+        } else {
+            again.push_back(std::move(w));
+        }
+    }
+    while (!again.empty()) {
+        queued_.push_front(std::move(again.back()));
+        again.pop_back();
+    }
+}
+
+}  // namespace barrowrun::placement
--- /dev/null
+++ b/src/placement/cluster.hpp
@@ -0,0 +1,175 @@
+#pragma once
+// The leader's view and decisions: state + event + time -> actions. No I/O, no clock of its own.
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <unordered_set>
+#include <vector>
+
+#include "fleet/machine.hpp"
+#include "queue/job_queue.hpp"
+#include "state/records.hpp"
+
+namespace barrowrun::placement {
+
+using fleet::Entry;
+using fleet::Machine;
+using fleet::Phase;
+using state::IndexSet;
+using wire::Attempt;
+using wire::TaskId;
+
+struct TeamLimits {
+    double cpus = 0, gpus = 0;          // guaranteed
+    double cpus_max = 0, gpus_max = 0;  // 0: none
+};
+
+struct Objective {
+    std::string kind, job_class;
+    double within_s = 0, times = 1;
+};
+
+struct Rules {
+    double report_s = 3, lease_s = 20, gang_wait_s = 30, gang_peer_s = 4, cancel_s = 30;
+    std::map<std::string, TeamLimits> teams;
+    std::vector<Objective> objectives;
+    std::uint64_t queue_bound = queue::default_bound;
+    std::size_t txn_ops = 16, value_bytes = 32 * 1024;
+};
+
+struct Job {
+    wire::JobSpec spec;
+    std::int64_t accepted_ms = 0;
+    TimePoint accepted{};
+    IndexSet waiting, done, durable_done;
+    bool cancelled = false, cancel_durable = false, past = false;
+    bool dirty = false, progress_written = false;
+    // Every machine that may hold an attempt of a task. A task is started only while it has none.
+    std::unordered_map<std::uint32_t, std::vector<std::pair<std::string, std::uint64_t>>> places;
+    TimePoint retry_at{};
+    int errors_in_row = 0;
+    std::set<std::string> failed_on;
+    double run_seen = 0;  // longest and mean run of its finished tasks
+    double run_sum = 0;
+    int runs = 0;
+    TimePoint gang_started{};
+    TimePoint last_done{};
+
+    bool finished() const { return done.size() == spec.tasks; }
+    wire::Standing standing() const;
+    std::uint64_t running() const { return places.size(); }
+    // Best guess of a task's run time: the owner's estimate until tasks have finished.
+    double run_guess() const { return runs >= 2 ? run_sum / runs : std::max(1.0, spec.estimate_s); }
+};
+
+// What one transaction carries, and what follows once it is durable.
+struct Write {
+    std::string key;
+    std::optional<wire::Json> value;  // absent: drop
+    std::function<void()> durable;
+};
+
+class Cluster {
+  public:
+    explicit Cluster(Rules rules) : rules_(std::move(rules)), queue_(rules_.queue_bound) {}
+
+    const Rules& rules() const { return rules_; }
+    void set_types(std::vector<wire::MachineType> types);
+    const std::map<std::string, wire::MachineType>& types() const { return types_; }
+
+    // The token that commands go out under, and when this leader began to lead.
+    void lead(std::uint64_t token, TimePoint acquired) {
+        token_ = token;
+        if (acquired_ == TimePoint{}) acquired_ = acquired, first_token_ = token;
+    }
+    std::uint64_t token() const { return token_; }
+    TimePoint acquired() const { return acquired_; }
+
+    // Jobs.
+    Job& add_job(const state::JobRecord& record, const state::Progress* progress, TimePoint now, std::int64_t wall_ms);
+    Job* find_job(const std::string& id);
+    const std::unordered_map<std::string, std::unique_ptr<Job>>& jobs() const { return jobs_; }
+    const queue::JobQueue& queue() const { return queue_; }
+    void cancel(Job& job, TimePoint now);
+    std::optional<state::PastRecord> past(const std::string& id) const;
+    void remember_past(const std::string& id, state::PastRecord r) { past_[id] = r; }
+
+    // Machines.
+    Machine& add_machine(const std::string& name, const std::string& type, const std::string& zone, bool spot,
+                         TimePoint now);
+    void inherit(const std::string& name, const state::MachineRecord& record, TimePoint now, std::int64_t wall_ms);
+    Machine* find_machine(const std::string& name);
+    std::map<std::string, std::unique_ptr<Machine>>& machines() { return machines_; }
+    const std::map<std::string, std::unique_ptr<Machine>>& machines() const { return machines_; }
+    void machine_gone(const std::string& name, const char* proof, TimePoint now);
+    void lease_over(Machine& m, TimePoint now);
+
+    // Events. A report that is not newer than what is known changes nothing and gives false.
+    bool on_report(const wire::Report& report, bool hello, TimePoint now);
+    // Commands for the response to a report or for a push; launches are marked as sent with it.
+    std::vector<wire::Command> reply_commands(Machine& m, TimePoint now);
+    std::vector<wire::Command> push_commands(Machine& m, TimePoint now);
+    void push_answered(Machine& m, const std::vector<wire::Command>& sent, std::uint64_t token, bool executed,
+                       bool may_execute, TimePoint now);
+
+    // Time passing: stops that come due, gangs in trouble, faulty machines.
+    void tick(TimePoint now);
+    // Gives free room to the oldest highest-priority tasks that fit. True if anything was placed or stopped.
+    bool round(TimePoint now);
+
+    // Writes that wait, most urgent first.
+    std::vector<Write> take_writes(std::size_t max_ops, std::size_t max_bytes, TimePoint now);
+    bool has_writes() const { return !dirty_machines_.empty() || !dirty_jobs_.empty() || !queued_.empty(); }
+    bool has_urgent_writes() const { return !dirty_machines_.empty() || !queued_.empty(); }
+    void write_failed(std::vector<Write> writes);  // not executed, or fenced: to be written again
+    void enqueue(Write w) { queued_.push_back(std::move(w)); }
+    void mark_machine_dirty(const std::string& name) { dirty_machines_.insert(name); }
+    void note_stop(Machine& m, const Attempt& a, Entry& e, double grace, TimePoint now, const char* why);
+
+    bool usable(const Machine& m, TimePoint now) const;
+    bool allowed(const wire::JobSpec& spec, const Machine& m) const;
+    bool zone_ok(const Job& job, const std::string& zone) const;
+    bool unsettled(TimePoint now) const;  // a push without an answer is older than a while
+    bool fits_some_type(const wire::JobSpec& spec) const;
+    bool gpu_reserved(const wire::JobSpec& spec, const wire::MachineType& t) const;
+    std::set<std::string> take_touched() { return std::exchange(touched_, {}); }  // machines with something to send
+    wire::Resources preemptible(const Machine& m, wire::Priority level) const;
+    void touch(const std::string& machine) { touched_.insert(machine); }
+
+  private:
+    void apply(Machine& m, const std::vector<fleet::Change>& changes, TimePoint now);
+    void ended(Machine& m, const Attempt& a, const Entry& e, TimePoint now);
+    void unplace(Job& job, std::uint32_t index, const std::string& machine, std::uint64_t attempt);
+    void set_waiting(Job& job, std::uint32_t index, bool waiting);
+    void finish_task(Job& job, std::uint32_t index, TimePoint now);
+    void mark_dirty(Job& job);
+    Machine* choose(const Job& job, TimePoint now, const std::map<std::string, wire::Resources>& taken);
+    void place(Job& job, std::uint32_t index, Machine& m, std::uint64_t attempt, TimePoint now);
+    bool place_gang(Job& job, TimePoint now);
+    bool preempt_for(Job& job, TimePoint now);
+    bool team_has_room(const Job& job, std::uint32_t tasks) const;
+    void reconcile_reported(Machine& m, TimePoint now);
+    void stop_gang(Job& job, double grace, TimePoint now, const char* why);
+    bool may_reap(const Attempt& a, const Entry& e) const;
+    double grace_for(const Job& job) const { return job.spec.checkpoint_s > 0 ? job.spec.save_s + 1.0 : 0.0; }
+    std::uint64_t next_attempt() { return (first_token_ << 20) + ++attempts_; }
+
+    Rules rules_;
+    std::map<std::string, wire::MachineType> types_;
+    std::unordered_map<std::string, std::unique_ptr<Job>> jobs_;
+    std::unordered_map<std::string, state::PastRecord> past_;
+    std::map<std::string, std::unique_ptr<Machine>> machines_;
+    queue::JobQueue queue_;
+    std::set<std::string> dirty_machines_, dirty_jobs_, touched_;
+    std::deque<Write> queued_;
+    std::unordered_map<std::string, wire::Resources> usage_;  // by team, during a round
+    std::uint64_t token_ = 0, first_token_ = 0, attempts_ = 0;
+    TimePoint acquired_{};
+    std::map<std::string, wire::Resources> reserved_;  // room that stopped tasks will leave, by machine
+};
+
+}  // namespace barrowrun::placement
--- /dev/null
+++ b/src/queue/job_queue.cpp
@@ -0,0 +1,14 @@
+#include "queue/job_queue.hpp"
+
+namespace barrowrun::queue {
+
+void JobQueue::set_waiting(wire::Priority level, const Place& place, std::uint64_t before, std::uint64_t now) {
+    auto& q = levels_[static_cast<std::size_t>(level)];
+    waiting_ = waiting_ - before + now;
+    if (now == 0)
+        q.erase(place);
+    else if (before == 0)
+        q.insert(place);
+}
+
+}  // namespace barrowrun::queue
--- /dev/null
+++ b/src/queue/job_queue.hpp
@@ -0,0 +1,35 @@
+#pragma once
+// Waiting jobs: one first-come queue per priority level (thesis 3.2, 3.3). A job stands in its level's queue
+// while any of its tasks waits; it keeps its place when nothing of it fits (the thesis swaps it back).
+#include <array>
+#include <cstdint>
+#include <set>
+#include <string>
+
+#include "wire/submission.hpp"
+
+namespace barrowrun::queue {
+
+inline constexpr std::uint64_t default_bound = 200'000;  // tasks
+
+struct Place {
+    std::int64_t accepted_ms;
+    std::string id;
+    auto operator<=>(const Place&) const = default;
+};
+
+class JobQueue {
+  public:
+    explicit JobQueue(std::uint64_t bound = default_bound) : bound_(bound) {}
+    // Whether a job of n tasks may join. A job that would pass the bound is refused whole.
+    bool admits(std::uint64_t n) const { return waiting_ + n <= bound_; }
+    void set_waiting(wire::Priority level, const Place& place, std::uint64_t before, std::uint64_t now);
+    std::uint64_t waiting() const { return waiting_; }
+    const std::set<Place>& level(int n) const { return levels_[static_cast<std::size_t>(n)]; }
+
+  private:
+    std::array<std::set<Place>, wire::priority_levels> levels_;
+    std::uint64_t bound_, waiting_ = 0;
+};
+
+}  // namespace barrowrun::queue
--- /dev/null
+++ b/src/state/records.cpp
@@ -0,0 +1,206 @@
+#include "state/records.hpp"
+
+namespace barrowrun::state {
+namespace {
+constexpr char digits64[] = "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789-_";
+int value64(char c) {
+    if (c >= 'A' && c <= 'Z') return c - 'A';
+    if (c >= 'a' && c <= 'z') return c - 'a' + 26;
+    if (c >= '0' && c <= '9') return c - '0' + 52;
+    return c == '-' ? 62 : c == '_' ? 63 : -1;
+}
+}  // namespace
+
+IndexSet IndexSet::full(std::uint32_t n) {
+    IndexSet s;
+    s.insert_range(0, n);
+    return s;
+}
+
+bool IndexSet::contains(std::uint32_t i) const {
+    auto it = ranges_.upper_bound(i);
+    return it != ranges_.begin() && std::prev(it)->second > i;
+}
+
+bool IndexSet::insert(std::uint32_t i) {
+    if (contains(i)) return false;
+    insert_range(i, i + 1);
+    return true;
+}
+
+void IndexSet::insert_range(std::uint32_t from, std::uint32_t to) {
+    if (from >= to) return;
+    auto it = ranges_.upper_bound(from);
+    if (it != ranges_.begin() && std::prev(it)->second >= from) --it;
+    while (it != ranges_.end() && it->first <= to) {
+        from = std::min(from, it->first);
+        to = std::max(to, it->second);
+        size_ -= it->second - it->first;
+        it = ranges_.erase(it);
+    }
+    ranges_.emplace(from, to);
+    size_ += to - from;
+}
+
+bool IndexSet::erase(std::uint32_t i) {
+    auto it = ranges_.upper_bound(i);
+    if (it == ranges_.begin() || std::prev(it)->second <= i) return false;
+    --it;
+    auto [from, to] = *it;
+    ranges_.erase(it);
+    if (from < i) ranges_.emplace(from, i);
+    if (i + 1 < to) ranges_.emplace(i + 1, to);
+    --size_;
+    return true;
+}
+
+std::optional<std::uint32_t> IndexSet::first() const {
+    if (ranges_.empty()) return std::nullopt;
+    return ranges_.begin()->first;
+}
+
+std::optional<std::uint32_t> IndexSet::next(std::uint32_t from) const {
+    auto it = ranges_.upper_bound(from);
+    if (it != ranges_.begin() && std::prev(it)->second > from) return from;
+    if (it == ranges_.end()) return std::nullopt;
+    return it->first;
+}
+
+Json IndexSet::json(std::uint32_t universe) const {
+    // A range takes up to 16 characters as JSON, a bitmap one for six tasks.
+    if (ranges_.size() * 16 > universe / 6 + 8) {
+        std::string bits;
+        bits.reserve(universe / 6 + 1);
+        for (std::uint32_t base = 0; base < universe; base += 6) {
+            int v = 0;
+            for (std::uint32_t k = 0; k < 6; ++k)
+                if (base + k < universe && contains(base + k)) v |= 1 << k;
+            bits += digits64[v];
+        }
+        return bits;
+    }
+    Json out = Json::array();
+    for (auto [from, to] : ranges_) {
+        out.push_back(from);
+        out.push_back(to - from);
+    }
+    return out;
+}
+
+std::optional<IndexSet> IndexSet::parse(const Json& value, std::uint32_t universe) {
+    IndexSet s;
+    if (value.is_string()) {
+        const auto& bits = value.get_ref<const std::string&>();
+        for (std::size_t c = 0; c < bits.size(); ++c) {
+            int v = value64(bits[c]);
+            if (v < 0) return std::nullopt;
+            for (std::uint32_t k = 0; k < 6; ++k)
+                if (v & (1 << k)) {
+                    auto i = static_cast<std::uint32_t>(c * 6 + k);
+                    if (i >= universe) return std::nullopt;
+                    s.insert(i);
+                }
+        }
+        return s;
+    }
+    if (!value.is_array() || value.size() % 2) return std::nullopt;
+    for (std::size_t k = 0; k < value.size(); k += 2) {
+        if (!value[k].is_number_unsigned() || !value[k + 1].is_number_unsigned()) return std::nullopt;
+        auto from = value[k].get<std::uint64_t>(), n = value[k + 1].get<std::uint64_t>();
+        if (from > universe || n > universe - from) return std::nullopt;
+        s.insert_range(static_cast<std::uint32_t>(from), static_cast<std::uint32_t>(from + n));
+    }
+    return s;
+}
+
+std::string job_key(const std::string& id) { return "jobs/" + id; }
+std::string progress_key(const std::string& id) { return "progress/" + id; }
+std::string past_key(const std::string& id) { return "past/" + id; }
+std::string machine_key(const std::string& name) { return "machines/" + name; }
+std::string hire_key(const std::string& request) { return "hires/" + request; }
+
+Json to_json(const JobRecord& r) {
+    return Json{{"job", wire::submission_json(r.spec)}, {"accepted_ms", r.accepted_ms}};
+}
+
+std::optional<JobRecord> parse_job_record(const Json& value) {
+    const Json* job = wire::find(value, "job");
+    if (!job) return std::nullopt;
+    auto spec = wire::parse_submission(*job);
+    if (!std::holds_alternative<wire::JobSpec>(spec)) return std::nullopt;
+    JobRecord r;
+    r.spec = std::get<wire::JobSpec>(std::move(spec));
+    r.accepted_ms = static_cast<std::int64_t>(wire::count(value, "accepted_ms").value_or(0));
+    return r;
+}
+
+Json to_json(const Progress& p, std::uint32_t tasks) {
+    Json out{{"finished", p.done.json(tasks)}};
+    if (p.cancelled) out["cancelled"] = true;
+    return out;
+}
+
+std::optional<Progress> parse_progress(const Json& value, std::uint32_t tasks) {
+    const Json* done = wire::find(value, "finished");
+    if (!done) return std::nullopt;
+    auto set = IndexSet::parse(*done, tasks);
+    if (!set) return std::nullopt;
+    return Progress{std::move(*set), wire::flag(value, "cancelled").value_or(false)};
+}
+
+Json to_json(const PastRecord& r) { return Json{{"state", wire::standing_name(r.standing)}, {"finished", r.done}}; }
+
+std::optional<PastRecord> parse_past(const Json& value) {
+    auto standing = wire::standing_of(wire::text(value, "state").value_or(""));
+    if (!standing) return std::nullopt;
+    return PastRecord{*standing, static_cast<std::uint32_t>(wire::count(value, "finished").value_or(0))};
+}
+
+Json to_json(const MachineRecord& r) {
+    Json list = Json::array();
+    for (auto& a : r.attempts) list.push_back(Json::array({a.task.str(), a.number}));
+    return Json{{"address", r.address}, {"type", r.type},           {"zone", r.zone},
+                {"spot", r.spot},       {"rented_ms", r.rented_ms}, {"attempts", std::move(list)}};
+}
+
+std::optional<MachineRecord> parse_machine(const Json& value) {
+    const Json* list = wire::find(value, "attempts");
+    if (!list || !list->is_array()) return std::nullopt;
+    MachineRecord r;
+    r.address = wire::text(value, "address").value_or("");
+    r.type = wire::text(value, "type").value_or("");
+    r.zone = wire::text(value, "zone").value_or("");
+    r.spot = wire::flag(value, "spot").value_or(false);
+    r.rented_ms = static_cast<std::int64_t>(wire::count(value, "rented_ms").value_or(0));
+    for (const Json& e : *list) {
+        if (!e.is_array() || e.size() != 2 || !e[0].is_string() || !e[1].is_number_unsigned()) return std::nullopt;
+        auto task = wire::TaskId::parse(e[0].get_ref<const std::string&>());
+        if (!task) return std::nullopt;
+        r.attempts.push_back({*task, e[1].get<std::uint64_t>()});
+    }
+    return r;
+}
+
+Json to_json(const HireRecord& r) {
+    return Json{{"type", r.type}, {"zone", r.zone}, {"spot", r.spot}, {"count", r.count}};
+}
+
+std::optional<HireRecord> parse_hire(const Json& value) {
+    auto type = wire::text(value, "type"), zone = wire::text(value, "zone");
+    auto n = wire::count(value, "count");
+    if (!type || !zone || !n || *n > 50) return std::nullopt;
+    return HireRecord{*type, *zone, wire::flag(value, "spot").value_or(false), static_cast<int>(*n)};
+}
+
+Json to_json(const LeaderRecord& r) {
+    return Json{{"node", r.node}, {"incarnation", r.incarnation}, {"hold", r.hold}, {"stamp", r.stamp}};
+}
+
+std::optional<LeaderRecord> parse_leader(const Json& value) {
+    auto node = wire::text(value, "node");
+    if (!node) return std::nullopt;
+    return LeaderRecord{*node, wire::text(value, "incarnation").value_or(""), wire::count(value, "hold").value_or(0),
+                        wire::count(value, "stamp").value_or(0)};
+}
+
+}  // namespace barrowrun::state
--- /dev/null
+++ b/src/state/state_client.hpp
@@ -0,0 +1,94 @@
+#pragma once
+// The state service by its protocol: reads, transactions, holds, watches, within its rates.
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "net/http_client.hpp"
+
+namespace barrowrun::state {
+
+using net::Task;
+using wire::Json;
+
+enum class Outcome {
+    ok,
+    conflict,  // 409: a condition failed; nothing was done
+    absent,    // 404
+    refused,   // 400, 429, 503: certainly not executed
+    unknown,   // no answer: it may have been executed, or still may
+};
+
+struct Value {
+    Outcome outcome = Outcome::unknown;
+    Json value;
+    std::uint64_t version = 0;
+};
+
+struct Item {
+    std::string key;
+    Json value;
+    std::uint64_t version = 0;
+};
+
+struct Listing {
+    bool ok = false;
+    std::vector<Item> items;
+    std::uint64_t revision = 0;  // of the first page: a watch from there misses nothing
+};
+
+struct Condition {
+    std::string key;
+    std::uint64_t version = 0;
+};
+
+struct Operation {
+    std::string key;
+    std::optional<Json> value;  // absent: delete
+    std::uint64_t hold = 0;
+};
+
+struct TxnResult {
+    Outcome outcome = Outcome::unknown;
+    std::uint64_t revision = 0;
+};
+
+struct Event {
+    std::string key;
+    std::optional<Json> value;
+    std::uint64_t version = 0;
+};
+
+struct WatchResult {
+    bool ok = false, too_old = false;
+    std::uint64_t revision = 0;
+    std::vector<Event> events;
+};
+
+class StateClient {
+  public:
+    StateClient(net::asio::io_context& io, std::string address, double rps, double write_rps);
+    Task<Value> get(std::string key, Clock::duration deadline = std::chrono::milliseconds(1500));
+    Task<Listing> list(std::string prefix);
+    Task<TxnResult> txn(std::vector<Condition> conditions, std::vector<Operation> operations,
+                        Clock::duration deadline = std::chrono::milliseconds(2000), bool budgeted = true);
+    Task<std::optional<std::uint64_t>> create_hold(Clock::duration ttl);
+    Task<Outcome> extend_hold(std::uint64_t hold, Clock::duration deadline);
+    Task<Outcome> end_hold(std::uint64_t hold);
+    Task<WatchResult> watch(std::string prefix, std::uint64_t since, Clock::duration wait);
+
+    // How the service answers this node: used for health, and for judging whether others fare better.
+    bool answers(TimePoint now) const { return last_ok_ >= last_bad_ || now - last_ok_ < std::chrono::milliseconds(1500); }
+    TimePoint last_ok() const { return last_ok_; }
+
+  private:
+    Task<net::Reply> call(net::http::verb method, std::string target, std::optional<Json> body, Clock::duration deadline,
+                          double cost = 1);
+    void note(const net::Reply& reply);
+    std::string address_;
+    net::HttpClient client_;
+    net::RateBudget requests_, writes_;
+    TimePoint last_ok_{}, last_bad_{};
+};
+
+}  // namespace barrowrun::state
--- /dev/null
+++ b/src/wire/messages.hpp
@@ -0,0 +1,98 @@
+#pragma once
+// The messages between workers and controllers, in the field's terms. The protocol's own words appear only
+// in the .cpp files of this package.
+#include <compare>
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "wire/codec.hpp"
+
+namespace barrowrun::wire {
+
+struct TaskId {
+    std::string job;
+    std::uint32_t index = 0;
+    auto operator<=>(const TaskId&) const = default;
+    std::string str() const { return job + "/" + std::to_string(index); }
+    static std::optional<TaskId> parse(std::string_view s);
+};
+
+// One start of a task. Attempt numbers are never reused, so this names the start for good.
+struct Attempt {
+    TaskId task;
+    std::uint64_t number = 0;
+    auto operator<=>(const Attempt&) const = default;
+};
+
+struct AttemptHash {
+    std::size_t operator()(const Attempt& a) const {
+        std::size_t h = std::hash<std::string>{}(a.task.job);
+        h = h * 1099511628211ULL + a.task.index;
+        return h * 1099511628211ULL + static_cast<std::size_t>(a.number);
+    }
+};
+
+enum class TaskState { fetching, waiting, running, saving, exited };
+enum class Cause { none, done, stopped, peers, alone, error, no_room, busy, unknown };
+
+struct TaskStatus {
+    Attempt attempt;
+    TaskState state = TaskState::running;
+    Cause cause = Cause::none;
+    bool saved = false;
+};
+
+struct Report {
+    std::string machine, address, type, zone;
+    bool spot = false;
+    std::uint64_t session = 0, seq = 0, token = 0;
+    std::optional<double> notice_s;
+    std::vector<TaskStatus> tasks;
+};
+
+enum class Verb { launch, kill, reap };
+
+struct Command {
+    Verb verb = Verb::launch;
+    Attempt attempt;
+    double grace_s = 0;
+};
+
+std::optional<Report> parse_report(const Json& body);
+Json report_json(const Report& report);
+Json commands_json(const std::vector<Command>& commands);
+Json report_answer(std::uint64_t token, const std::vector<Command>& commands);
+Json push_body(std::uint64_t token, std::uint64_t session, const std::vector<Command>& commands);
+Json redirect_answer(const std::string& leader);  // empty: no leader known
+const char* cause_name(Cause cause);
+const char* state_name(TaskState state);
+
+// Cloud messages.
+struct MachineType {
+    std::string name;
+    double cpus = 0, gpus = 0, mem_gb = 0, cache_gb = 0, fetch_gb_per_s = 0.1, price = 0, spot_price = 0, boot_s = 30;
+    std::vector<std::string> zones;
+};
+struct ListedMachine {
+    std::string name, address, type, zone;
+    bool spot = false;
+    enum class State { booting, running, failed } state = State::booting;
+    double age_s = 0;
+};
+struct MachineList {
+    std::vector<ListedMachine> machines;
+    bool more = false;
+};
+
+std::optional<std::vector<MachineType>> parse_types(const Json& body);
+Json types_json(const std::vector<MachineType>& types);
+std::optional<MachineList> parse_machine_list(const Json& body);
+std::optional<std::vector<std::string>> parse_machine_names(const Json& body);
+Json rent_body(const std::string& request, const std::string& type, const std::string& zone, bool spot, int n);
+Json return_body(const std::vector<std::string>& names);
+std::string list_target(const std::string& after, int limit);
+
+}  // namespace barrowrun::wire
--- /dev/null
+++ b/src/wire/submission.cpp
@@ -0,0 +1,165 @@
+#include "wire/submission.hpp"
+
+#include <algorithm>
+
+namespace barrowrun::wire {
+namespace {
+
+template <class E>
+struct Word {
+    const char* word;
+    E value;
+};
+constexpr Word<Sort> sorts[] = {{"sweep", Sort::array}, {"gang", Sort::gang}, {"daemon", Sort::service}};
+constexpr Word<Priority> ranks[] = {{"production", Priority::production},
+                                    {"urgent", Priority::high},
+                                    {"normal", Priority::normal},
+                                    {"low", Priority::low}};
+constexpr Word<Standing> standings[] = {{"queued", Standing::queued},
+                                        {"running", Standing::running},
+                                        {"done", Standing::done},
+                                        {"withdrawn", Standing::cancelled}};
+
+template <class E, std::size_t N>
+std::optional<E> lookup(const Word<E> (&table)[N], const std::string& word) {
+    for (auto& w : table)
+        if (word == w.word) return w.value;
+    return std::nullopt;
+}
+
+template <class E, std::size_t N>
+const char* word_for(const Word<E> (&table)[N], E value) {
+    for (auto& w : table)
+        if (w.value == value) return w.word;
+    return "";
+}
+
+}  // namespace
+
+bool valid_job_id(std::string_view id) {
+    if (id.size() < 4 || id.size() > 21 || id.substr(0, 3) != "wk-") return false;
+    return std::all_of(id.begin() + 3, id.end(), [](char c) { return c >= '0' && c <= '9'; });
+}
+
+std::variant<JobSpec, std::string> parse_submission(const Json& body) {
+    using std::string;
+    if (!body.is_object()) return string("the body is not a map");
+    JobSpec s;
+    string wrong;
+    auto bad = [&](const char* field) {
+        if (wrong.empty()) wrong = string("missing or invalid field: ") + field;
+    };
+    auto take_text = [&](const char* field, string& out) {
+        auto v = text(body, field);
+        if (!v || v->empty() || v->size() > 200)
+            bad(field);
+        else
+            out = *v;
+    };
+    auto take_amount = [&](const char* field, double& out) {
+        auto v = amount(body, field);
+        if (!v || *v < 0 || *v > 1e12)
+            bad(field);
+        else
+            out = *v;
+    };
+    auto take_flag = [&](const char* field, bool& out) {
+        auto v = flag(body, field);
+        if (!v)
+            bad(field);
+        else
+            out = *v;
+    };
+    auto id = text(body, "name_id");
+    if (!id || !valid_job_id(*id))
+        bad("name_id");
+    else
+        s.id = *id;
+    take_text("docket", s.job_class);
+    take_text("crew", s.team);
+    if (auto v = lookup(sorts, text(body, "sort").value_or("")))
+        s.sort = *v;
+    else
+        bad("sort");
+    if (auto v = lookup(ranks, text(body, "rank").value_or("")))
+        s.priority = *v;
+    else
+        bad("rank");
+    if (auto n = count(body, "parcels"); n && *n >= 1 && *n <= max_tasks)
+        s.tasks = static_cast<std::uint32_t>(*n);
+    else
+        bad("parcels");
+    take_amount("vcpus", s.need.cpus);
+    take_amount("cards", s.need.gpus);
+    take_amount("mem_gb", s.need.mem_gb);
+    take_text("cargo", s.image);
+    take_amount("image_gb", s.image_gb);
+    if (const Json* types = find(body, "builds")) {
+        if (!types->is_array()) {
+            bad("builds");
+        } else {
+            s.types.emplace();
+            for (const Json& t : *types) {
+                if (!t.is_string())
+                    bad("builds");
+                else
+                    s.types->push_back(t.get<string>());
+            }
+        }
+    }
+    if (find(body, "yard")) {
+        string zone;
+        take_text("yard", zone);
+        s.zone = zone;
+    }
+    take_flag("same_place", s.one_zone);
+    take_flag("spread", s.spread);
+    take_flag("loaners", s.spot_ok);
+    take_amount("haul_s", s.estimate_s);
+    take_amount("waymark_s", s.checkpoint_s);
+    take_amount("stow_s", s.save_s);
+    if (find(body, "due_s")) {
+        double due = 0;
+        take_amount("due_s", due);
+        s.deadline_s = due;
+    }
+    if (!wrong.empty()) return wrong;
+    return s;
+}
+
+Json submission_json(const JobSpec& s) {
+    Json out{{"name_id", s.id},
+             {"docket", s.job_class},
+             {"crew", s.team},
+             {"sort", word_for(sorts, s.sort)},
+             {"rank", word_for(ranks, s.priority)},
+             {"parcels", s.tasks},
+             {"vcpus", s.need.cpus},
+             {"cards", s.need.gpus},
+             {"mem_gb", s.need.mem_gb},
+             {"cargo", s.image},
+             {"image_gb", s.image_gb},
+             {"same_place", s.one_zone},
+             {"spread", s.spread},
+             {"loaners", s.spot_ok},
+             {"haul_s", s.estimate_s},
+             {"waymark_s", s.checkpoint_s},
+             {"stow_s", s.save_s}};
+    if (s.types) out["builds"] = *s.types;
+    if (s.zone) out["yard"] = *s.zone;
+    if (s.deadline_s) out["due_s"] = *s.deadline_s;
+    return out;
+}
+
+const char* standing_name(Standing s) { return word_for(standings, s); }
+std::optional<Standing> standing_of(const std::string& word) { return lookup(standings, word); }
+
+Json status_json(const JobStatus& s) {
+    return Json{{"name_id", s.id}, {"standing", standing_name(s.standing)}, {"done", s.done}, {"running", s.running}};
+}
+
+Json accepted_json(const std::string& id, Standing s) {
+    return Json{{"name_id", id}, {"standing", standing_name(s)}};
+}
+
+}  // namespace barrowrun::wire
--- /dev/null
+++ b/src/wire/submission.hpp
@@ -0,0 +1,65 @@
+#pragma once
+// Jobs as users submit and see them.
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "wire/codec.hpp"
+
+namespace barrowrun::wire {
+
+enum class Sort { array, gang, service };
+enum class Priority { production, high, normal, low };
+inline constexpr int priority_levels = 4;
+inline constexpr std::uint32_t max_tasks = 100'000;
+
+struct Resources {
+    double cpus = 0, gpus = 0, mem_gb = 0;
+    bool fits(const Resources& room) const {
+        constexpr double eps = 1e-6;
+        return cpus <= room.cpus + eps && gpus <= room.gpus + eps && mem_gb <= room.mem_gb + eps;
+    }
+    Resources& operator+=(const Resources& o) {
+        cpus += o.cpus, gpus += o.gpus, mem_gb += o.mem_gb;
+        return *this;
+    }
+    Resources& operator-=(const Resources& o) {
+        cpus -= o.cpus, gpus -= o.gpus, mem_gb -= o.mem_gb;
+        return *this;
+    }
+};
+
+struct JobSpec {
+    std::string id, job_class, team;
+    Sort sort = Sort::array;
+    Priority priority = Priority::normal;
+    std::uint32_t tasks = 0;
+    Resources need;
+    std::string image;
+    double image_gb = 0;
+    std::optional<std::vector<std::string>> types;
+    std::optional<std::string> zone;
+    bool one_zone = false, spread = false, spot_ok = false;
+    double estimate_s = 0, checkpoint_s = 0, save_s = 0;
+    std::optional<double> deadline_s;
+};
+
+bool valid_job_id(std::string_view id);
+// The job, or what is wrong with it in one line.
+std::variant<JobSpec, std::string> parse_submission(const Json& body);
+Json submission_json(const JobSpec& spec);
+
+enum class Standing { queued, running, done, cancelled };
+const char* standing_name(Standing s);
+std::optional<Standing> standing_of(const std::string& word);
+
+struct JobStatus {
+    std::string id;
+    Standing standing = Standing::queued;
+    std::uint64_t done = 0, running = 0;
+};
+Json status_json(const JobStatus& s);
+Json accepted_json(const std::string& id, Standing s);
+
+}  // namespace barrowrun::wire
