--- a/src/api/leader.cpp
+++ b/src/api/leader.cpp
@@ -9,7 +9,8 @@
 using namespace std::chrono_literals;
 
 std::int64_t wall_ms() {
-    return std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::system_clock::now().time_since_epoch())
+    return std::chrono::duration_cast<std::chrono::milliseconds>(
+               std::chrono::system_clock::now().time_since_epoch())
         .count();
 }
 
@@ -24,7 +25,9 @@
     cluster_.set_types(services_.catalog);
 }
 
-void Leader::start() { spawn("load", load()); }
+void Leader::start() {
+    spawn("load", load());
+}
 
 void Leader::stop() {
     stopped_ = true;
@@ -89,7 +92,8 @@
     last_hello_ = now;
     spdlog::info("took over after {:.0f} ms: {} active jobs, {} machines on record, {} rentals open",
                  Seconds(now - begun).count() * 1000, count, machines.items.size(), open_hires_.size());
-    // Every known worker hears of the new token at once: that fences the predecessor and brings fresh reports.
+    // Every known worker hears of the new token at once: that fences the predecessor and brings fresh
+    // reports.
     for (auto& [name, m] : cluster_.machines())
         if (!m->address.empty()) spawn("fence " + name, push(name, true));
     spawn("place", place_loop());
@@ -229,7 +233,8 @@
     auto* m = cluster_.find_machine(report.machine);
     if (!m) co_return not_entitled;
     if (!newer && report.session != m->session) co_return not_entitled;
-    // Not newer, but of this session: an answer to a push has overtaken it. The worker still waits for this one.
+    // Not newer, but of this session: an answer to a push has overtaken it. The worker still waits for this
+    // one.
     std::vector<wire::Command> commands;
     if (newer && !m->returning) commands = cluster_.reply_commands(*m, now);
     if (commands.size() > 300) commands.resize(300);
@@ -294,7 +299,8 @@
                 bool new_session = report->session != session;
                 cluster_.on_report(*report, false, now);
                 m = cluster_.find_machine(name);
-                // Refused for its session: once more with the right one. Refused for the token: another leads.
+                // Refused for its session: once more with the right one. Refused for the token: another
+                // leads.
                 if (reply.status == 409) {
                     if (report->token > services_.election.token()) {
                         spdlog::warn("machine {} knows a newer token: {}", name, report->token);
@@ -417,8 +423,8 @@
 }
 
 std::vector<std::string> Leader::silent(TimePoint now) {
-    // A machine that neither reports nor answers is proven empty quickest by returning it. Not when much of the
-    // fleet is silent: then the trouble is more likely on our side.
+    // A machine that neither reports nor answers is proven empty quickest by returning it. Not when much of
+    // the fleet is silent: then the trouble is more likely on our side.
     std::vector<std::string> out;
     std::size_t reporting = 0, quiet = 0;
     auto limit = secs(2 * services_.settings.rules.report_s + 1.5);
@@ -432,7 +438,8 @@
     for (auto& [name, m] : cluster_.machines()) {
         if (!m->up || m->returning || now - m->last_report <= limit) continue;
         if (!m->suspect) {
-            spdlog::info("machine {} has been silent for {:.1f} s", name, Seconds(now - m->last_report).count());
+            spdlog::info("machine {} has been silent for {:.1f} s", name,
+                         Seconds(now - m->last_report).count());
             m->suspect = true;
             m->probed = now;
             spawn("probe " + name, probe(name));
@@ -480,9 +487,10 @@
         // A leader that no worker reaches is of no use, whatever the state service says.
         bool any_up = false;
         for (auto& [name, m] : cluster_.machines()) any_up |= m->up || !m->entries.empty();
-        if (any_up && now - last_hello_ > secs(std::max(4.0, 2 * rules.report_s + 2)) && now - acquired_ > 8s &&
-            services_.state.answers(now)) {
-            spdlog::warn("no worker has reached this leader for {:.1f} s", Seconds(now - last_hello_).count());
+        if (any_up && now - last_hello_ > secs(std::max(4.0, 2 * rules.report_s + 2)) &&
+            now - acquired_ > 8s && services_.state.answers(now)) {
+            spdlog::warn("no worker has reached this leader for {:.1f} s",
+                         Seconds(now - last_hello_).count());
             services_.election.step_down(15s);
             co_return;
         }
@@ -577,10 +585,12 @@
             std::string request = "r-" + std::to_string(cluster_.token()) + "-" + std::to_string(++hires_);
             state::HireRecord hire{order.offer.type, order.offer.zone, order.offer.spot, order.count};
             open_hires_[request] = hire;
-            // The request is on record before it is sent, so that a successor repeats it rather than forget it.
+            // The request is on record before it is sent, so that a successor repeats it rather than forget
+            // it.
             auto self = shared_from_this();
             cluster_.enqueue({state::hire_key(request), state::to_json(hire), [self, request, hire] {
-                                  if (!self->stopped_) self->spawn("rent " + request, self->rent_one(request, hire));
+                                  if (!self->stopped_)
+                                      self->spawn("rent " + request, self->rent_one(request, hire));
                               }});
         }
         write_wake_.wake();
@@ -597,8 +607,8 @@
         auto sent = Clock::now();
         auto result = co_await services_.cloud.rent(request, hire.type, hire.zone, hire.spot, hire.count);
         if (result.outcome == fleet::RentOutcome::granted) {
-            spdlog::info("rented {} of {} {} in {}{} ({})", result.machines.size(), hire.count, hire.type, hire.zone,
-                         hire.spot ? ", spot" : "", request);
+            spdlog::info("rented {} of {} {} in {}{} ({})", result.machines.size(), hire.count, hire.type,
+                         hire.zone, hire.spot ? ", spot" : "", request);
             for (auto& name : result.machines) {
                 auto& m = cluster_.add_machine(name, hire.type, hire.zone, hire.spot, sent);
                 m.rented = sent;
@@ -610,8 +620,10 @@
                 renting_.granted(offer);
             break;
         }
-        if (result.outcome == fleet::RentOutcome::no_capacity || result.outcome == fleet::RentOutcome::refused) {
-            spdlog::info("no {} to be had in {}{} ({})", hire.type, hire.zone, hire.spot ? ", spot" : "", request);
+        if (result.outcome == fleet::RentOutcome::no_capacity ||
+            result.outcome == fleet::RentOutcome::refused) {
+            spdlog::info("no {} to be had in {}{} ({})", hire.type, hire.zone, hire.spot ? ", spot" : "",
+                         request);
             renting_.refused(offer, Clock::now());
             break;
         }
@@ -624,7 +636,8 @@
 
 Task<> Leader::give_back(std::vector<std::string> names, bool proof) {
     while (!names.empty()) {
-        std::vector<std::string> part(names.begin(), names.begin() + static_cast<long>(std::min<std::size_t>(100, names.size())));
+        std::vector<std::string> part(
+            names.begin(), names.begin() + static_cast<long>(std::min<std::size_t>(100, names.size())));
         if (may_act() && co_await services_.cloud.give_back(part)) {
             for (auto& name : part) {
                 if (returned_.size() > 5000) returned_.clear();
--- a/src/api/leader.hpp
+++ b/src/api/leader.hpp
@@ -63,7 +63,9 @@
     Task<> push(std::string machine, bool fence);
     Task<> probe(std::string machine);
     Task<> restamp();
-    void spawn(std::string name, Task<> duty) { duties_.spawn(std::move(name), shared_from_this(), std::move(duty)); }
+    void spawn(std::string name, Task<> duty) {
+        duties_.spawn(std::move(name), shared_from_this(), std::move(duty));
+    }
     void send_touched();
     void add(const state::JobRecord& record);
     std::vector<std::string> silent(TimePoint now);
--- a/src/api/node.cpp
+++ b/src/api/node.cpp
@@ -24,7 +24,9 @@
     return Response{status, {{"error", std::move(text)}}, retry_after};
 }
 
-Json id_body(const std::string& id) { return Json{{"id", id}}; }
+Json id_body(const std::string& id) {
+    return Json{{"id", id}};
+}
 
 constexpr std::size_t kept_final_states = 20'000;
 
@@ -37,7 +39,8 @@
       cloud_(io, settings.cloud, settings.cloud_rps),
       workers_(io, 2),
       peers_(io, 8),
-      election_(io, settings.node, peers_of(settings), state_, peers_, election::Timing{}),
+      election_(io, settings.node, peers_of(settings), state_, peers_,
+                election::Timing{settings.leader_hold, settings.promise}),
       public_server_(io, static_cast<std::size_t>(settings.max_connections * 0.75)),
       peer_server_(io, static_cast<std::size_t>(settings.max_connections * 0.1)) {
     election_.on_lead = [this](std::uint64_t token, TimePoint acquired) {
@@ -63,7 +66,8 @@
             }
         };
     };
-    net::asio::co_spawn(io_, public_server_.serve([this](net::Request r) { return public_route(std::move(r)); }),
+    net::asio::co_spawn(io_,
+                        public_server_.serve([this](net::Request r) { return public_route(std::move(r)); }),
                         ended("the public server"));
     net::asio::co_spawn(io_, peer_server_.serve([this](net::Request r) { return peer_route(std::move(r)); }),
                         ended("the peer server"));
@@ -126,7 +130,8 @@
     }
     if (target == "/peer/abstain") {
         auto ms = wire::count(*body, "ms").value_or(0);
-        bool promise = co_await election_.asked_to_abstain(std::chrono::milliseconds(std::min<std::uint64_t>(ms, 60'000)));
+        bool promise = co_await election_.asked_to_abstain(
+            std::chrono::milliseconds(std::min<std::uint64_t>(ms, 60'000)));
         Json answer{{"promise", promise}};
         co_return Response{200, std::move(answer)};
     }
@@ -162,9 +167,10 @@
 
 Response Node::health() {
     auto now = Clock::now();
-    // When the state service refuses everyone, being out of rotation would only make the recovery slower. When it
-    // refuses this node alone, the others should get the users.
-    if (!state_.answers(now) && election_.peer_state_ok(now)) return problem(503, "the state service refuses this node");
+    // When the state service refuses everyone, being out of rotation would only make the recovery slower.
+    // When it refuses this node alone, the others should get the users.
+    if (!state_.answers(now) && election_.peer_state_ok(now))
+        return problem(503, "the state service refuses this node");
     return Response{};
 }
 
@@ -187,7 +193,7 @@
             auto p = state::parse_progress(progress.value, record->spec.tasks);
             if (!p) co_return look;
             look.known_outcome = true;
-            auto standing = p->cancelled ? wire::Standing::cancelled
+            auto standing = p->cancelled                           ? wire::Standing::cancelled
                             : p->done.size() == record->spec.tasks ? wire::Standing::done
                             : p->done.empty()                      ? wire::Standing::queued
                                                                    : wire::Standing::running;
@@ -295,7 +301,8 @@
             if (kept->loaded()) admitted = kept->admits(spec.tasks);
         } else {
             for (auto& p : election_.peers())
-                if (p.leading && Clock::now() - p.heard < 5s && p.waiting + spec.tasks > settings_.rules.queue_bound)
+                if (p.leading && Clock::now() - p.heard < 5s &&
+                    p.waiting + spec.tasks > settings_.rules.queue_bound)
                     admitted = false;
         }
         if (!admitted) status = 429, refusal = "the queues are full";
@@ -345,8 +352,10 @@
     if (!from_peer && election_.peer_state_ok(Clock::now())) {
         for (auto& p : election_.peers()) {
             if (!p.state_ok) continue;
-            auto reply = co_await peers_.call(p.address, verb::post, "/peer/submit", wire::submission_json(record.spec), 1500ms);
-            if (reply.status == 200 || reply.status == 201) co_return Response{reply.status, std::move(reply.body)};
+            auto reply = co_await peers_.call(p.address, verb::post, "/peer/submit",
+                                              wire::submission_json(record.spec), 1500ms);
+            if (reply.status == 200 || reply.status == 201)
+                co_return Response{reply.status, std::move(reply.body)};
         }
     }
     co_return problem(503, "the state service does not answer", 1);
@@ -384,7 +393,8 @@
     }
     auto address = election_.leader_address();
     if (!address) co_return problem(503, "no leader is known");
-    auto reply = co_await peers_.call(*address, verb::post, "/peer/hello", wire::report_json(*report), 2500ms);
+    auto reply =
+        co_await peers_.call(*address, verb::post, "/peer/hello", wire::report_json(*report), 2500ms);
     if (reply.status == 200) co_return Response{200, std::move(reply.body)};
     it = redirected_.find(report->machine);
     if (it != redirected_.end()) it->second = TimePoint{};
--- a/src/app/main.cpp
+++ b/src/app/main.cpp
@@ -11,13 +11,17 @@
 int main(int argc, char** argv) {
     CLI::App cli{"barrowrun: a cluster scheduler with first-come queues, one per priority level"};
     std::string config;
+    std::string operators;
     bool check = false;
     cli.add_option("--config", config, "the platform's settings file (JSON)")->required();
+    cli.add_option("--operator", operators,
+                   "an operator's own settings (JSON, see schema/operator.schema.json)");
     cli.add_flag("--check-config", check, "check the settings and end");
     cli.set_version_flag("--version", "barrowrun " BARROWRUN_VERSION);
     CLI11_PARSE(cli, argc, argv);
 
-    auto logger = std::make_shared<spdlog::logger>("barrowrun", std::make_shared<spdlog::sinks::stderr_sink_st>());
+    auto logger =
+        std::make_shared<spdlog::logger>("barrowrun", std::make_shared<spdlog::sinks::stderr_sink_st>());
     logger->set_pattern("%H:%M:%S.%e %l %v");
     spdlog::set_default_logger(logger);
     const char* level = std::getenv("LOG_LEVEL");
@@ -26,8 +30,13 @@
                       : wanted == "error" ? spdlog::level::err
                       : wanted == "warn"  ? spdlog::level::warn
                                           : spdlog::level::info);
+    const std::string* reading = &config;
     try {
         auto settings = barrowrun::app::load_settings(config);
+        if (!operators.empty()) {
+            reading = &operators;
+            barrowrun::app::apply_operator_settings(settings, barrowrun::app::read_file(operators));
+        }
         if (check) {
             std::puts("the settings are fine");
             return 0;
@@ -38,7 +47,7 @@
         spdlog::info("{} serves on {}", settings.node, settings.listen);
         io.run();
     } catch (const barrowrun::app::SettingsError& e) {
-        std::fprintf(stderr, "barrowrun: %s: %s\n", config.c_str(), e.what());
+        std::fprintf(stderr, "barrowrun: %s: %s\n", reading->c_str(), e.what());
         return 2;
     } catch (const std::exception& e) {
         std::fprintf(stderr, "barrowrun: %s\n", e.what());
--- a/src/app/settings.cpp
+++ b/src/app/settings.cpp
@@ -65,7 +65,8 @@
     if (!members.is_array()) throw SettingsError("field must be a list: members");
     for (std::size_t i = 0; i < members.size(); ++i) {
         std::string path = "members[" + std::to_string(i) + "].";
-        if (!members[i].is_object()) throw SettingsError("field must be an object: members[" + std::to_string(i) + "]");
+        if (!members[i].is_object())
+            throw SettingsError("field must be an object: members[" + std::to_string(i) + "]");
         s.members.push_back({text(members[i], path, "node_name"), address(members[i], path, "addr")});
     }
     const Json& external = object(root, "", "external");
@@ -78,13 +79,14 @@
         std::string path = "deployment.teams[" + std::to_string(i) + "].";
         auto name = text(teams[i], path, "name");
         s.rules.teams[name] = {not_negative(teams[i], path, "cpus"), not_negative(teams[i], path, "gpus"),
-                               not_negative(teams[i], path, "cpus_max"), not_negative(teams[i], path, "gpus_max")};
+                               not_negative(teams[i], path, "cpus_max"),
+                               not_negative(teams[i], path, "gpus_max")};
     }
     if (const Json* list = wire::find(d, "objectives"); list && list->is_array())
         for (const Json& o : *list)
-            s.rules.objectives.push_back({wire::text(o, "kind").value_or(""), wire::text(o, "class").value_or(""),
-                                          wire::amount(o, "within_s").value_or(0),
-                                          wire::amount(o, "times").value_or(1)});
+            s.rules.objectives.push_back(
+                {wire::text(o, "kind").value_or(""), wire::text(o, "class").value_or(""),
+                 wire::amount(o, "within_s").value_or(0), wire::amount(o, "times").value_or(1)});
     const Json& w = object(d, "deployment.", "workers");
     s.rules.report_s = positive(w, "deployment.workers.", "report_s");
     s.rules.lease_s = positive(w, "deployment.workers.", "lease_s");
@@ -104,13 +106,16 @@
     return s;
 }
 
-Settings load_settings(const std::string& path) {
+std::string read_file(const std::string& path) {
     std::ifstream in(path);
-    if (!in) throw SettingsError("cannot read " + path);
-    std::stringstream text;
-    text << in.rdbuf();
-    if (in.bad()) throw SettingsError("cannot read " + path);
-    return parse_settings(text.str());
+    std::stringstream content;
+    if (in) content << in.rdbuf();
+    if (!in || in.bad() || content.bad()) throw SettingsError("the file cannot be read");
+    return content.str();
+}
+
+Settings load_settings(const std::string& path) {
+    return parse_settings(read_file(path));
 }
 
 }  // namespace barrowrun::app
--- a/src/app/settings.hpp
+++ b/src/app/settings.hpp
@@ -22,10 +22,14 @@
     placement::Rules rules;
     double state_rps = 100, state_write_rps = 50, cloud_rps = 2, list_lag_s = 5;
     double max_connections = 500;
+    std::chrono::milliseconds leader_hold{3000}, promise{2500};
 };
 
 // Throws SettingsError with one line that names the field.
 Settings parse_settings(const std::string& text);
 Settings load_settings(const std::string& path);
+// Takes over an operator's own settings, checked against schema/operator.schema.json.
+void apply_operator_settings(Settings& settings, const std::string& text);
+std::string read_file(const std::string& path);
 
 }  // namespace barrowrun::app
--- a/src/election/authority.hpp
+++ b/src/election/authority.hpp
@@ -10,7 +10,9 @@
 using TimePoint = Clock::time_point;
 using Seconds = std::chrono::duration<double>;
 
-inline Clock::duration secs(double s) { return std::chrono::duration_cast<Clock::duration>(Seconds(s)); }
+inline Clock::duration secs(double s) {
+    return std::chrono::duration_cast<Clock::duration>(Seconds(s));
+}
 
 // Steady clocks of different machines drift apart by up to 0.05%; both sides of a comparison may be off, so
 // twice that and a little for timer steps.
@@ -30,7 +32,9 @@
 class Authority {
   public:
     explicit Authority(std::size_t peers) : peers_(peers) {}
-    void hold_extended(TimePoint sent, Clock::duration ttl) { hold_until_ = std::max(hold_until_, sent + shorter(ttl)); }
+    void hold_extended(TimePoint sent, Clock::duration ttl) {
+        hold_until_ = std::max(hold_until_, sent + shorter(ttl));
+    }
     void promised(const std::string& peer, TimePoint sent, Clock::duration length) {
         if (sent >= std::max(hold_until_, promised_until())) lapsed_ = true;
         auto& until = promises_[peer];
--- a/src/election/election.cpp
+++ b/src/election/election.cpp
@@ -8,8 +8,8 @@
 using wire::Json;
 using namespace std::chrono_literals;
 
-Election::Election(net::asio::io_context& io, std::string node, std::vector<Peer> peers, state::StateClient& state,
-                   net::HttpClient& peer_client, Timing timing)
+Election::Election(net::asio::io_context& io, std::string node, std::vector<Peer> peers,
+                   state::StateClient& state, net::HttpClient& peer_client, Timing timing)
     : io_(io),
       node_(std::move(node)),
       peers_(std::move(peers)),
@@ -156,7 +156,8 @@
                 // A transaction met another token: see whether the key is still ours.
                 lost_hint_ = false;
                 auto current = co_await state_.get(state::leader_key, 800ms);
-                auto record = current.outcome == Outcome::ok ? state::parse_leader(current.value) : std::nullopt;
+                auto record =
+                    current.outcome == Outcome::ok ? state::parse_leader(current.value) : std::nullopt;
                 if (current.outcome == Outcome::absent || (record && record->incarnation != incarnation_)) {
                     lose("another node took the lead");
                     break;
@@ -181,7 +182,8 @@
     }
 }
 
-// While the state service answers nobody, the lead goes on as long as every other node promises not to take it.
+// While the state service answers nobody, the lead goes on as long as every other node promises not to take
+// it.
 Task<> Election::collect_promises() {
     struct Round {
         std::size_t open;
@@ -194,7 +196,8 @@
             auto ms = std::chrono::duration_cast<std::chrono::milliseconds>(self->timing_.promise).count();
             Json body{{"from", self->node_}, {"ms", ms}};
             auto sent = Clock::now();
-            auto reply = co_await self->peer_client_.call(address, verb::post, "/peer/abstain", std::move(body), 900ms);
+            auto reply = co_await self->peer_client_.call(address, verb::post, "/peer/abstain",
+                                                          std::move(body), 900ms);
             if (reply.status == 200 && wire::flag(reply.body, "promise").value_or(false) && self->leader_)
                 self->authority_->promised(name, sent, self->timing_.promise);
             --r->open;
@@ -254,7 +257,8 @@
         for (auto& p : peers_) {
             auto ask = [](Election* self, Peer* peer, bool ok) -> Task<> {
                 Json body{{"from", self->node_}, {"state_ok", ok}};
-                auto reply = co_await self->peer_client_.call(peer->address, verb::post, "/peer/ping", std::move(body), 800ms);
+                auto reply = co_await self->peer_client_.call(peer->address, verb::post, "/peer/ping",
+                                                              std::move(body), 800ms);
                 if (reply.status != 200) co_return;
                 peer->heard = Clock::now();
                 peer->state_ok = wire::flag(reply.body, "state_ok").value_or(false);
--- a/src/election/election.hpp
+++ b/src/election/election.hpp
@@ -46,7 +46,10 @@
     Task<bool> restamp();
     // Condition for a leader's transaction.
     state::Condition fence() const { return {state::leader_key, token_}; }
-    void doubt() { lost_hint_ = true; wake_.wake(); }  // a transaction was refused because of the token
+    void doubt() {
+        lost_hint_ = true;
+        wake_.wake();
+    }  // a transaction was refused because of the token
     void step_down(Clock::duration pause);
 
     const std::string& leader_name() const { return leader_name_; }  // empty: none known
--- a/src/fleet/cloud_client.cpp
+++ b/src/fleet/cloud_client.cpp
@@ -31,7 +31,8 @@
     }
 }
 
-Task<RentResult> CloudClient::rent(std::string request, std::string type, std::string zone, bool spot, int n) {
+Task<RentResult> CloudClient::rent(std::string request, std::string type, std::string zone, bool spot,
+                                   int n) {
     auto body = wire::rent_body(request, type, zone, spot, n);
     auto reply = co_await call(verb::post, "/rentals", std::move(body), 4s);
     RentResult out;
--- a/src/fleet/machine.cpp
+++ b/src/fleet/machine.cpp
@@ -149,7 +149,8 @@
             // A late launch would start a reaped attempt again, so wait until none can be on its way.
             if (!e.in_flight && (!e.late || token_seen > e.sent_token) && may_reap(a, e))
                 out.push_back({wire::Verb::reap, a, 0});
-        } else if (launches && !e.stop && (e.phase == Phase::ready || (e.phase == Phase::pushed && e.late && !e.in_flight))) {
+        } else if (launches && !e.stop &&
+                   (e.phase == Phase::ready || (e.phase == Phase::pushed && e.late && !e.in_flight))) {
             out.push_back({wire::Verb::launch, a, 0});
         }
     }
--- a/src/fleet/machine.hpp
+++ b/src/fleet/machine.hpp
@@ -53,7 +53,7 @@
     std::string name, address, type, zone;
     bool spot = false;
     std::uint64_t session = 0, seq = 0, token_seen = 0;
-    bool up = false;  // its worker has reported to us
+    bool up = false;                    // its worker has reported to us
     std::optional<TimePoint> taken_at;  // spot notice: when the cloud takes it, as nominally announced
     TimePoint known{}, rented{}, last_report{}, last_answer{}, idle_since{}, up_since{}, probed{};
     bool returning = false;  // a return request is out, or will be
@@ -69,7 +69,7 @@
     std::list<std::pair<std::string, double>> images;  // most recently used first, as far as we can tell
     std::vector<wire::Attempt> recorded;               // what the durable record names
 
-    wire::Resources room() const;                // capacity less all that may be there
+    wire::Resources room() const;  // capacity less all that may be there
     bool has_image(const std::string& image) const;
     bool fetching(const std::string& image) const { return fetching_.contains(image); }
     void use_image(const std::string& image, double gb);
@@ -88,8 +88,9 @@
         return std::max({last_answer, acquired, known}) + longer(secs(lease_s));
     }
     // What to tell the worker now. `launches` says whether launches may go with it.
-    std::vector<wire::Command> commands(TimePoint now, bool launches,
-                                        const std::function<bool(const wire::Attempt&, const Entry&)>& may_reap) const;
+    std::vector<wire::Command> commands(
+        TimePoint now, bool launches,
+        const std::function<bool(const wire::Attempt&, const Entry&)>& may_reap) const;
 
   private:
     std::unordered_map<std::string, double> fetching_;
--- a/src/fleet/renting.cpp
+++ b/src/fleet/renting.cpp
@@ -16,7 +16,9 @@
     r.until = now + secs(4.0 * r.row);
 }
 
-void Renting::granted(const Offer& offer) { refusals_.erase(offer); }
+void Renting::granted(const Offer& offer) {
+    refusals_.erase(offer);
+}
 
 void Renting::note_arrival(const wire::JobSpec& spec, TimePoint now) {
     if (spec.sort == Sort::service) service_arrivals_.emplace_back(now, spec.tasks);
@@ -92,7 +94,9 @@
                 wire::Resources room = b.room;
                 if (soft) room += b.soft;
                 if (!s.need.fits(room)) continue;
-                auto rank = [&](const Bin& x) { return std::tuple(!x.used, s.spot_ok && !x.spot, x.room.cpus); };
+                auto rank = [&](const Bin& x) {
+                    return std::tuple(!x.used, s.spot_ok && !x.spot, x.room.cpus);
+                };
                 if (!best || rank(b) < rank(*best)) best = &b;
             }
             if (best) {
@@ -118,14 +122,22 @@
                     for (bool spot : {true, false}) {
                         if (!suits(s, name, zone, spot) || !zone_ok(zone)) continue;
                         Offer offer{name, zone, spot};
-                        if (auto r = refusals_.find(offer); r != refusals_.end() && now < r->second.until) continue;
+                        if (auto r = refusals_.find(offer); r != refusals_.end() && now < r->second.until)
+                            continue;
                         // Larger machines serve others too: part of the unused room counts as useful.
                         double cost = (spot ? t.spot_price : t.price) / (0.6 * use + 0.4 * per);
                         if (!type || cost < pick_cost) type = &t, pick = offer, pick_cost = cost;
                     }
             }
             if (!type) return;
-            bins.push_back({"", pick.type, pick.zone, pick.spot, true, {type->cpus, type->gpus, type->mem_gb}, {}, true});
+            bins.push_back({"",
+                            pick.type,
+                            pick.zone,
+                            pick.spot,
+                            true,
+                            {type->cpus, type->gpus, type->mem_gb},
+                            {},
+                            true});
             bins.back().room -= s.need;
             in_zone[pick.zone]++;
             orders[pick]++;
@@ -153,7 +165,8 @@
             cover(&job, job.spec, n, job.spec.priority == wire::Priority::production);
         }
     // Room kept for services that may come: what arrived lately within two boot times, at least two tasks.
-    while (!service_arrivals_.empty() && now - service_arrivals_.front().first > secs(120)) service_arrivals_.pop_front();
+    while (!service_arrivals_.empty() && now - service_arrivals_.front().first > secs(120))
+        service_arrivals_.pop_front();
     double tasks = 0;
     for (auto& a : service_arrivals_) tasks += a.second;
     for (auto& [id, job] : cluster.jobs())
@@ -163,7 +176,9 @@
         }
     if (headroom.tasks > 0) {
         headroom.spread = headroom.one_zone = false;
-        headroom_tasks = static_cast<std::uint32_t>(std::clamp(std::ceil(tasks / 120 * 45), 3.0, 16.0));
+        headroom_tasks = static_cast<std::uint32_t>(
+            std::clamp(std::ceil(tasks / 120 * 45), static_cast<double>(cluster.rules().headroom_min),
+                       std::max<double>(cluster.rules().headroom_min, cluster.rules().headroom_max)));
         cover(nullptr, headroom, headroom_tasks, true);
     }
     for (auto& [offer, n] : orders) out.rent.push_back({offer, std::min(n, 50)});
@@ -173,15 +188,18 @@
         auto& m = *cluster.machines().at(b.name);
         if (!m.up) continue;
         // A minute is charged in any case; after that a little patience, since work comes all the time.
-        if (now - m.idle_since > secs(12) && now - m.rented > secs(55)) out.give_back.push_back(b.name);
+        if (now - m.idle_since > secs(cluster.rules().idle_return_s) && now - m.rented > secs(55))
+            out.give_back.push_back(b.name);
     }
     for (auto& [name, m] : cluster.machines()) {
         if (m->returning) continue;
         auto t = cluster.types().find(m->type);
         double boot = t == cluster.types().end() ? 60 : t->second.boot_s;
-        bool never = !m->up && m->entries.empty() && now - m->rented > secs(3 * boot + 15) && now - m->known > secs(20);
+        bool never = !m->up && m->entries.empty() && now - m->rented > secs(3 * boot + 15) &&
+                     now - m->known > secs(20);
         if (never) {
-            spdlog::warn("machine {} has not come up in {:.0f} s: it is returned", name, Seconds(now - m->rented).count());
+            spdlog::warn("machine {} has not come up in {:.0f} s: it is returned", name,
+                         Seconds(now - m->rented).count());
             out.give_back.push_back(name);
         } else if (m->drain && m->live() == 0) {
             out.give_back.push_back(name);
--- a/src/net/duties.hpp
+++ b/src/net/duties.hpp
@@ -60,19 +60,19 @@
         auto signal = *slot;
         auto list = signals_;
         asio::co_spawn(io_, std::move(duty),
-                       asio::bind_cancellation_slot(
-                           signal->slot(), [name = std::move(name), keep, signal, list, slot](std::exception_ptr e) {
-                               list->erase(slot);
-                               if (!e) return;
-                               try {
-                                   std::rethrow_exception(e);
-                               } catch (const boost::system::system_error& err) {
-                                   if (err.code() != asio::error::operation_aborted)
-                                       spdlog::error("{} ended: {}", name, err.what());
-                               } catch (const std::exception& err) {
+                       asio::bind_cancellation_slot(signal->slot(), [name = std::move(name), keep, signal,
+                                                                     list, slot](std::exception_ptr e) {
+                           list->erase(slot);
+                           if (!e) return;
+                           try {
+                               std::rethrow_exception(e);
+                           } catch (const boost::system::system_error& err) {
+                               if (err.code() != asio::error::operation_aborted)
                                    spdlog::error("{} ended: {}", name, err.what());
-                               }
-                           }));
+                           } catch (const std::exception& err) {
+                               spdlog::error("{} ended: {}", name, err.what());
+                           }
+                       }));
     }
     void cancel() {
         auto copy = *signals_;
@@ -88,7 +88,8 @@
 // Spreads calls so that a rate limit of the other side is kept; allows a burst of a part of a second's worth.
 class RateBudget {
   public:
-    RateBudget(double per_s, double burst) : per_s_(std::max(0.1, per_s)), burst_(std::max(1.0, burst)), level_(burst_) {}
+    RateBudget(double per_s, double burst)
+        : per_s_(std::max(0.1, per_s)), burst_(std::max(1.0, burst)), level_(burst_) {}
     // Reserves n and tells how long to wait before using them.
     Clock::duration reserve(TimePoint now, double n) {
         refill(now);
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -16,8 +16,8 @@
     return asio::ip::tcp::endpoint(ip, static_cast<unsigned short>(port));
 }
 
-Task<Reply> HttpClient::call(std::string address, http::verb method, std::string target, std::optional<Json> body,
-                             Clock::duration deadline, std::size_t body_limit) {
+Task<Reply> HttpClient::call(std::string address, http::verb method, std::string target,
+                             std::optional<Json> body, Clock::duration deadline, std::size_t body_limit) {
     Reply reply;
     auto endpoint = parse_endpoint(address);
     if (!endpoint) co_return reply;
--- a/src/net/http_client.hpp
+++ b/src/net/http_client.hpp
@@ -24,7 +24,8 @@
 
 class HttpClient {
   public:
-    HttpClient(asio::io_context& io, std::size_t idle_per_peer = 4) : io_(io), idle_per_peer_(idle_per_peer) {}
+    HttpClient(asio::io_context& io, std::size_t idle_per_peer = 4)
+        : io_(io), idle_per_peer_(idle_per_peer) {}
     Task<Reply> call(std::string address, http::verb method, std::string target, std::optional<Json> body,
                      Clock::duration deadline, std::size_t body_limit = 1 << 20);
     void forget(const std::string& address) { idle_.erase(address); }
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -14,7 +14,8 @@
     }
 };
 
-Task<> connection(asio::ip::tcp::socket socket, std::shared_ptr<Handler> handler, [[maybe_unused]] Counted counted) {
+Task<> connection(asio::ip::tcp::socket socket, std::shared_ptr<Handler> handler,
+                  [[maybe_unused]] Counted counted) {
     beast::tcp_stream stream(std::move(socket));
     beast::flat_buffer buffer;
     boost::system::error_code ec;
@@ -46,7 +47,8 @@
         }
         http::response<http::string_body> response{static_cast<http::status>(answer.status), 11};
         response.set(http::field::content_type, "application/msgpack");
-        if (answer.retry_after > 0) response.set(http::field::retry_after, std::to_string(answer.retry_after));
+        if (answer.retry_after > 0)
+            response.set(http::field::retry_after, std::to_string(answer.retry_after));
         response.body() = wire::encode(answer.body);
         response.keep_alive(keep);
         response.prepare_payload();
--- a/src/placement/cluster.cpp
+++ b/src/placement/cluster.cpp
@@ -39,7 +39,8 @@
     Job& job = *it->second;
     job.spec = record.spec;
     job.accepted_ms = record.accepted_ms;
-    job.accepted = now - std::chrono::milliseconds(std::clamp<std::int64_t>(wall_ms - record.accepted_ms, 0, 86'400'000));
+    job.accepted = now - std::chrono::milliseconds(
+                             std::clamp<std::int64_t>(wall_ms - record.accepted_ms, 0, 86'400'000));
     if (progress) {
         job.done = job.durable_done = progress->done;
         job.cancelled = job.cancel_durable = progress->cancelled;
@@ -126,8 +127,8 @@
     return it == machines_.end() ? nullptr : it->second.get();
 }
 
-Machine& Cluster::add_machine(const std::string& name, const std::string& type, const std::string& zone, bool spot,
-                              TimePoint now) {
+Machine& Cluster::add_machine(const std::string& name, const std::string& type, const std::string& zone,
+                              bool spot, TimePoint now) {
     auto [it, fresh] = machines_.try_emplace(name);
     if (!fresh) return *it->second;
     it->second = std::make_unique<Machine>();
@@ -150,7 +151,8 @@
     Machine& m = add_machine(name, record.type, record.zone, record.spot, now);
     m.address = record.address;
     if (record.rented_ms)
-        m.rented = now - std::chrono::milliseconds(std::clamp<std::int64_t>(wall_ms - record.rented_ms, 0, 86'400'000));
+        m.rented = now - std::chrono::milliseconds(
+                             std::clamp<std::int64_t>(wall_ms - record.rented_ms, 0, 86'400'000));
     m.recorded = record.attempts;
     for (auto& a : record.attempts) {
         Entry e;
@@ -176,8 +178,10 @@
     std::vector<Change> changes;
     std::size_t n = m.live();
     m.clear(changes);
-    if (n) spdlog::info("machine {} is gone ({}), {} tasks move", name, proof, n);
-    else spdlog::info("machine {} is gone ({})", name, proof);
+    if (n)
+        spdlog::info("machine {} is gone ({}), {} tasks move", name, proof, n);
+    else
+        spdlog::info("machine {} is gone ({})", name, proof);
     apply(m, changes, now);
     enqueue({state::machine_key(name), std::nullopt, {}});
     dirty_machines_.erase(name);
@@ -197,8 +201,8 @@
     Machine* known = find_machine(report.machine);
     if (!known) {
         known = &add_machine(report.machine, report.type, report.zone, report.spot, now);
-        spdlog::info("machine {} ({}, {}{}) reports for the first time", report.machine, report.type, report.zone,
-                     report.spot ? ", spot" : "");
+        spdlog::info("machine {} ({}, {}{}) reports for the first time", report.machine, report.type,
+                     report.zone, report.spot ? ", spot" : "");
         mark_machine_dirty(report.machine);
     }
     Machine& m = *known;
@@ -250,9 +254,11 @@
             case Change::vanished:
                 if (!job) break;
                 if (c.entry.phase != Phase::recording && c.entry.phase != Phase::ready)
-                    spdlog::debug("{} attempt {} is no longer on {}", c.attempt.task.str(), c.attempt.number, m.name);
+                    spdlog::debug("{} attempt {} is no longer on {}", c.attempt.task.str(), c.attempt.number,
+                                  m.name);
                 unplace(*job, index, m.name, c.attempt.number);
-                if (job->spec.sort == Sort::gang && !job->finished()) stop_gang(*job, 0, now, "a gang task is gone");
+                if (job->spec.sort == Sort::gang && !job->finished())
+                    stop_gang(*job, 0, now, "a gang task is gone");
                 break;
         }
     }
@@ -285,8 +291,8 @@
             job->failed_on.insert(m.name);
             // A job that fails everywhere must not burn machines: its tries grow rarer.
             job->retry_at = now + secs(std::min(30.0, 0.5 * std::pow(2.0, std::min(job->errors_in_row, 8))));
-            spdlog::info("{} failed on {} ({} errors in a row there, {} for the job)", a.task.str(), m.name, m.errors,
-                         job->errors_in_row);
+            spdlog::info("{} failed on {} ({} errors in a row there, {} for the job)", a.task.str(), m.name,
+                         m.errors, job->errors_in_row);
             break;
         case Cause::no_room:
         case Cause::busy:
@@ -320,7 +326,8 @@
             note_stop(m, a, e, 0, now, "of a cancelled job");
         } else if (job->done.contains(a.task.index)) {
             if (job->spec.sort != Sort::gang) note_stop(m, a, e, 0, now, "done elsewhere");
-        } else if (auto it = job->places.find(a.task.index); it != job->places.end() && it->second.size() > 1) {
+        } else if (auto it = job->places.find(a.task.index);
+                   it != job->places.end() && it->second.size() > 1) {
             // Only records of a predecessor can name two places; the others resolve by themselves.
             for (auto& [name, number] : it->second) {
                 if (name == m.name && number == a.number) continue;
@@ -337,7 +344,8 @@
     }
 }
 
-void Cluster::note_stop(Machine& m, const Attempt& a, Entry& e, double grace, TimePoint now, const char* why) {
+void Cluster::note_stop(Machine& m, const Attempt& a, Entry& e, double grace, TimePoint now,
+                        const char* why) {
     if (e.exited()) return;
     if (e.stop && e.grace_s <= grace) return;
     spdlog::debug("stop {} on {}: {}", a.task.str(), m.name, why);
@@ -410,8 +418,8 @@
     return out;
 }
 
-void Cluster::push_answered(Machine& m, const std::vector<wire::Command>& sent, std::uint64_t token, bool executed,
-                            bool may_execute, TimePoint) {
+void Cluster::push_answered(Machine& m, const std::vector<wire::Command>& sent, std::uint64_t token,
+                            bool executed, bool may_execute, TimePoint) {
     for (auto& c : sent) {
         if (c.verb != wire::Verb::launch) continue;
         auto it = m.entries.find(c.attempt);
@@ -431,7 +439,8 @@
 bool Cluster::unsettled(TimePoint now) const {
     for (auto& [name, m] : machines_)
         for (auto& [a, e] : m->entries)
-            if (e.late && e.sent_token >= token_ && m->token_seen <= e.sent_token && now - e.since > secs(3)) return true;
+            if (e.late && e.sent_token >= token_ && m->token_seen <= e.sent_token && now - e.since > secs(3))
+                return true;
     return false;
 }
 
@@ -454,14 +463,16 @@
 bool Cluster::allowed(const wire::JobSpec& spec, const Machine& m) const {
     if (m.spot && !spec.spot_ok) return false;
     if (spec.zone && *spec.zone != m.zone) return false;
-    if (spec.types && std::find(spec.types->begin(), spec.types->end(), m.type) == spec.types->end()) return false;
+    if (spec.types && std::find(spec.types->begin(), spec.types->end(), m.type) == spec.types->end())
+        return false;
     if (auto t = types_.find(m.type); t != types_.end() && gpu_reserved(spec, t->second)) return false;
     return true;
 }
 
 bool Cluster::fits_some_type(const wire::JobSpec& spec) const {
     for (auto& [name, t] : types_) {
-        if (spec.types && std::find(spec.types->begin(), spec.types->end(), name) == spec.types->end()) continue;
+        if (spec.types && std::find(spec.types->begin(), spec.types->end(), name) == spec.types->end())
+            continue;
         if (spec.zone && std::find(t.zones.begin(), t.zones.end(), *spec.zone) == t.zones.end()) continue;
         if (spec.need.fits({t.cpus, t.gpus, t.mem_gb})) return true;
     }
@@ -505,7 +516,7 @@
         if (!job.spec.need.fits(room)) continue;
         if (!zone_ok(job, m.zone)) continue;
         double score = 0;
-        double fetch_s = m.has_image(job.spec.image) ? 0
+        double fetch_s = m.has_image(job.spec.image)  ? 0
                          : m.fetching(job.spec.image) ? 0.5 * job.spec.image_gb / m.fetch_gb_per_s
                                                       : job.spec.image_gb / m.fetch_gb_per_s;
         score -= fetch_s * (job.spec.sort == Sort::service ? 10.0 : 1.0);
@@ -543,7 +554,8 @@
     if (job.spec.one_zone) {
         std::set<std::string> all;
         for (auto& [name, m] : machines_) all.insert(m->zone);
-        zones.assign(all.begin(), all.end());
+        zones.clear();
+        for (auto& z : all) zones.push_back(z);
     }
     for (auto& zone : zones) {
         std::vector<Machine*> where;
@@ -562,7 +574,8 @@
                 if (auto r = reserved_.find(name); r != reserved_.end()) room -= r->second;
                 if (!job.spec.need.fits(room)) continue;
                 double score = (m.has_image(job.spec.image) ? 0 : -job.spec.image_gb / m.fetch_gb_per_s) -
-                               (job.failed_on.contains(name) ? 1000 : 0) - m.errors * 20.0 + (m.spot ? 2 : 0) -
+                               (job.failed_on.contains(name) ? 1000 : 0) - m.errors * 20.0 +
+                               (m.spot ? 2 : 0) -
                                (room.cpus - job.spec.need.cpus) / std::max(1.0, m.capacity.cpus);
                 if (!best || score > best_score) best = &m, best_score = score;
             }
@@ -621,12 +634,14 @@
         for (auto& [a, e] : m.entries) {
             if (e.exited() || e.stop) continue;
             Job* other = find_job(a.task.job);
-            if (!other || other->spec.priority <= job.spec.priority || other->spec.sort == Sort::service) continue;
+            if (!other || other->spec.priority <= job.spec.priority || other->spec.sort == Sort::service)
+                continue;
             if (other->spec.sort == Sort::gang && other->spec.tasks > 1) continue;
             double ran = e.running == TimePoint{} ? 0 : Seconds(now - e.running).count();
             double lost = other->spec.checkpoint_s > 0 ? std::min(ran, 2.0) + other->spec.save_s : ran;
-            list.push_back({a, e.need, (lost + 2) * std::max(0.1, e.need.cpus) -
-                                           10.0 * static_cast<double>(other->spec.priority)});
+            list.push_back(
+                {a, e.need,
+                 (lost + 2) * std::max(0.1, e.need.cpus) - 10.0 * static_cast<double>(other->spec.priority)});
         }
         std::sort(list.begin(), list.end(), [](auto& x, auto& y) { return x.cost < y.cost; });
         Plan plan{&m, {}, m.has_image(job.spec.image) ? 0 : 10 * job.spec.image_gb / m.fetch_gb_per_s};
@@ -640,10 +655,12 @@
         if (!best.machine || plan.cost < best.cost) best = std::move(plan);
     }
     if (!best.machine) return false;
-    spdlog::info("{} makes room on {}: {} lower tasks stop", job.spec.id, best.machine->name, best.victims.size());
+    spdlog::info("{} makes room on {}: {} lower tasks stop", job.spec.id, best.machine->name,
+                 best.victims.size());
     for (auto& a : best.victims) {
         Job* other = find_job(a.task.job);
-        note_stop(*best.machine, a, best.machine->entries.at(a), other ? grace_for(*other) : 0, now, "preempted");
+        note_stop(*best.machine, a, best.machine->entries.at(a), other ? grace_for(*other) : 0, now,
+                  "preempted");
     }
     reserved_[best.machine->name] += job.spec.need;
     return true;
@@ -670,8 +687,8 @@
             Job* job = find_job(id);
             if (!job || job->cancelled || now < job->retry_at) continue;
             const auto& s = job->spec;
-            std::string shape = fmt::format("{:.3f}/{:.3f}/{:.3f}/{}/{}", s.need.cpus, s.need.gpus, s.need.mem_gb,
-                                            s.spot_ok, s.zone.value_or(""));
+            std::string shape = fmt::format("{:.3f}/{:.3f}/{:.3f}/{}/{}", s.need.cpus, s.need.gpus,
+                                            s.need.mem_gb, s.spot_ok, s.zone.value_or(""));
             if (s.types)
                 for (auto& t : *s.types) shape += "/" + t;
             if (misfits.contains(shape) && s.priority > Priority::high) continue;
@@ -721,7 +738,8 @@
             for (auto& [id, job] : jobs_)
                 if (job->failed_on.contains(name) && job->failed_on.size() < 3) failing.insert(id);
             if (!failing.empty()) {
-                spdlog::warn("machine {} fails its tasks ({} in a row): it is emptied and returned", name, m.errors);
+                spdlog::warn("machine {} fails its tasks ({} in a row): it is emptied and returned", name,
+                             m.errors);
                 m.drain = true;
             } else {
                 m.errors = 0;
@@ -752,7 +770,8 @@
     std::size_t bytes = 0;
     auto add = [&](Write w) {
         // The limits are counted as JSON text; MessagePack is never longer by much, so measure as JSON.
-        bytes += w.key.size() + 40 + (w.value ? w.value->dump(-1, ' ', false, wire::Json::error_handler_t::replace).size() : 0);
+        bytes += w.key.size() + 40 +
+                 (w.value ? w.value->dump(-1, ' ', false, wire::Json::error_handler_t::replace).size() : 0);
         out.push_back(std::move(w));
     };
     auto full = [&] { return out.size() >= max_ops || bytes >= max_bytes; };
@@ -760,8 +779,9 @@
         add(std::move(queued_.front()));
         queued_.pop_front();
     }
-    std::int64_t wall =
-        std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::system_clock::now().time_since_epoch()).count();
+    std::int64_t wall = std::chrono::duration_cast<std::chrono::milliseconds>(
+                            std::chrono::system_clock::now().time_since_epoch())
+                            .count();
     while (!dirty_machines_.empty() && !full()) {
         std::string name = *dirty_machines_.begin();
         dirty_machines_.erase(dirty_machines_.begin());
@@ -782,7 +802,8 @@
             if (!mm) return;
             for (auto& a : fresh) {
                 auto it = mm->entries.find(a);
-                if (it != mm->entries.end() && it->second.phase == Phase::recording) it->second.phase = Phase::ready;
+                if (it != mm->entries.end() && it->second.phase == Phase::recording)
+                    it->second.phase = Phase::ready;
             }
             touch(name);
         };
@@ -796,7 +817,8 @@
         job->dirty = false;
         bool over = job->cancelled ? (job->cancel_durable && job->places.empty()) : job->finished();
         if (over) {
-            state::PastRecord past{job->cancelled ? wire::Standing::cancelled : wire::Standing::done, job->done.size()};
+            state::PastRecord past{job->cancelled ? wire::Standing::cancelled : wire::Standing::done,
+                                   job->done.size()};
             add({state::past_key(id), state::to_json(past), [this, id, past] {
                      Job* j = find_job(id);
                      if (!j) return;
--- a/src/placement/cluster.hpp
+++ b/src/placement/cluster.hpp
@@ -39,6 +39,8 @@
     std::vector<Objective> objectives;
     std::uint64_t queue_bound = queue::default_bound;
     std::size_t txn_ops = 16, value_bytes = 32 * 1024;
+    double idle_return_s = 12;
+    std::uint32_t headroom_min = 3, headroom_max = 16;
 };
 
 struct Job {
@@ -90,7 +92,8 @@
     TimePoint acquired() const { return acquired_; }
 
     // Jobs.
-    Job& add_job(const state::JobRecord& record, const state::Progress* progress, TimePoint now, std::int64_t wall_ms);
+    Job& add_job(const state::JobRecord& record, const state::Progress* progress, TimePoint now,
+                 std::int64_t wall_ms);
     Job* find_job(const std::string& id);
     const std::unordered_map<std::string, std::unique_ptr<Job>>& jobs() const { return jobs_; }
     const queue::JobQueue& queue() const { return queue_; }
@@ -101,7 +104,8 @@
     // Machines.
     Machine& add_machine(const std::string& name, const std::string& type, const std::string& zone, bool spot,
                          TimePoint now);
-    void inherit(const std::string& name, const state::MachineRecord& record, TimePoint now, std::int64_t wall_ms);
+    void inherit(const std::string& name, const state::MachineRecord& record, TimePoint now,
+                 std::int64_t wall_ms);
     Machine* find_machine(const std::string& name);
     std::map<std::string, std::unique_ptr<Machine>>& machines() { return machines_; }
     const std::map<std::string, std::unique_ptr<Machine>>& machines() const { return machines_; }
@@ -136,7 +140,9 @@
     bool unsettled(TimePoint now) const;  // a push without an answer is older than a while
     bool fits_some_type(const wire::JobSpec& spec) const;
     bool gpu_reserved(const wire::JobSpec& spec, const wire::MachineType& t) const;
-    std::set<std::string> take_touched() { return std::exchange(touched_, {}); }  // machines with something to send
+    std::set<std::string> take_touched() {
+        return std::exchange(touched_, {});
+    }  // machines with something to send
     wire::Resources preemptible(const Machine& m, wire::Priority level) const;
     void touch(const std::string& machine) { touched_.insert(machine); }
 
--- a/src/state/records.cpp
+++ b/src/state/records.cpp
@@ -113,11 +113,21 @@
     return s;
 }
 
-std::string job_key(const std::string& id) { return "jobs/" + id; }
-std::string progress_key(const std::string& id) { return "progress/" + id; }
-std::string past_key(const std::string& id) { return "past/" + id; }
-std::string machine_key(const std::string& name) { return "machines/" + name; }
-std::string hire_key(const std::string& request) { return "hires/" + request; }
+std::string job_key(const std::string& id) {
+    return "jobs/" + id;
+}
+std::string progress_key(const std::string& id) {
+    return "progress/" + id;
+}
+std::string past_key(const std::string& id) {
+    return "past/" + id;
+}
+std::string machine_key(const std::string& name) {
+    return "machines/" + name;
+}
+std::string hire_key(const std::string& request) {
+    return "hires/" + request;
+}
 
 Json to_json(const JobRecord& r) {
     return Json{{"job", wire::submission_json(r.spec)}, {"accepted_ms", r.accepted_ms}};
@@ -148,7 +158,9 @@
     return Progress{std::move(*set), wire::flag(value, "cancelled").value_or(false)};
 }
 
-Json to_json(const PastRecord& r) { return Json{{"state", wire::standing_name(r.standing)}, {"finished", r.done}}; }
+Json to_json(const PastRecord& r) {
+    return Json{{"state", wire::standing_name(r.standing)}, {"finished", r.done}};
+}
 
 std::optional<PastRecord> parse_past(const Json& value) {
     auto standing = wire::standing_of(wire::text(value, "state").value_or(""));
@@ -173,7 +185,8 @@
     r.spot = wire::flag(value, "spot").value_or(false);
     r.rented_ms = static_cast<std::int64_t>(wire::count(value, "rented_ms").value_or(0));
     for (const Json& e : *list) {
-        if (!e.is_array() || e.size() != 2 || !e[0].is_string() || !e[1].is_number_unsigned()) return std::nullopt;
+        if (!e.is_array() || e.size() != 2 || !e[0].is_string() || !e[1].is_number_unsigned())
+            return std::nullopt;
         auto task = wire::TaskId::parse(e[0].get_ref<const std::string&>());
         if (!task) return std::nullopt;
         r.attempts.push_back({*task, e[1].get<std::uint64_t>()});
@@ -199,8 +212,8 @@
 std::optional<LeaderRecord> parse_leader(const Json& value) {
     auto node = wire::text(value, "node");
     if (!node) return std::nullopt;
-    return LeaderRecord{*node, wire::text(value, "incarnation").value_or(""), wire::count(value, "hold").value_or(0),
-                        wire::count(value, "stamp").value_or(0)};
+    return LeaderRecord{*node, wire::text(value, "incarnation").value_or(""),
+                        wire::count(value, "hold").value_or(0), wire::count(value, "stamp").value_or(0)};
 }
 
 }  // namespace barrowrun::state
--- a/src/state/state_client.cpp
+++ b/src/state/state_client.cpp
@@ -19,13 +19,14 @@
         last_bad_ = Clock::now();
 }
 
-Task<Reply> StateClient::call(verb method, std::string target, std::optional<Json> body, Clock::duration deadline,
-                              double cost) {
+Task<Reply> StateClient::call(verb method, std::string target, std::optional<Json> body,
+                              Clock::duration deadline, double cost) {
     if (cost > 0) {
         auto wait = requests_.reserve(Clock::now(), cost);
         if (wait > Clock::duration::zero()) co_await net::sleep_for(wait);
     }
-    auto reply = co_await client_.call(address_, method, std::move(target), std::move(body), deadline, 8 << 20);
+    auto reply =
+        co_await client_.call(address_, method, std::move(target), std::move(body), deadline, 8 << 20);
     note(reply);
     co_return reply;
 }
@@ -122,13 +123,14 @@
 
 Task<Outcome> StateClient::extend_hold(std::uint64_t hold, Clock::duration deadline) {
     Json body = Json::object();
-    auto reply = co_await call(verb::post, "/holds/" + std::to_string(hold) + "/extend", std::move(body), deadline, 0);
+    auto reply =
+        co_await call(verb::post, "/holds/" + std::to_string(hold) + "/extend", std::move(body), deadline, 0);
     co_return outcome_of(reply);
 }
 
 Task<Outcome> StateClient::end_hold(std::uint64_t hold) {
-    auto reply =
-        co_await call(verb::delete_, "/holds/" + std::to_string(hold), std::nullopt, std::chrono::milliseconds(1000), 0);
+    auto reply = co_await call(verb::delete_, "/holds/" + std::to_string(hold), std::nullopt,
+                               std::chrono::milliseconds(1000), 0);
     co_return outcome_of(reply);
 }
 
--- a/src/state/state_client.hpp
+++ b/src/state/state_client.hpp
@@ -78,12 +78,14 @@
     Task<WatchResult> watch(std::string prefix, std::uint64_t since, Clock::duration wait);
 
     // How the service answers this node: used for health, and for judging whether others fare better.
-    bool answers(TimePoint now) const { return last_ok_ >= last_bad_ || now - last_ok_ < std::chrono::milliseconds(1500); }
+    bool answers(TimePoint now) const {
+        return last_ok_ >= last_bad_ || now - last_ok_ < std::chrono::milliseconds(1500);
+    }
     TimePoint last_ok() const { return last_ok_; }
 
   private:
-    Task<net::Reply> call(net::http::verb method, std::string target, std::optional<Json> body, Clock::duration deadline,
-                          double cost = 1);
+    Task<net::Reply> call(net::http::verb method, std::string target, std::optional<Json> body,
+                          Clock::duration deadline, double cost = 1);
     void note(const net::Reply& reply);
     std::string address_;
     net::HttpClient client_;
--- a/src/wire/codec.cpp
+++ b/src/wire/codec.cpp
@@ -36,7 +36,8 @@
 
 std::optional<Json> decode(std::string_view body) {
     DepthGuard guard;
-    if (!Json::sax_parse(body.begin(), body.end(), &guard, Json::input_format_t::msgpack)) return std::nullopt;
+    if (!Json::sax_parse(body.begin(), body.end(), &guard, Json::input_format_t::msgpack))
+        return std::nullopt;
     Json value = Json::from_msgpack(body.begin(), body.end(), true, false);
     if (value.is_discarded()) return std::nullopt;
     return value;
--- a/src/wire/messages.cpp
+++ b/src/wire/messages.cpp
@@ -12,8 +12,9 @@
                                                              {TaskState::saving, "flushing"},
                                                              {TaskState::exited, "ended"}};
 constexpr std::pair<Cause, const char*> cause_words[] = {
-    {Cause::done, "done"},   {Cause::stopped, "stopped"}, {Cause::peers, "peers"}, {Cause::alone, "alone"},
-    {Cause::error, "error"}, {Cause::no_room, "full"},    {Cause::busy, "busy"},   {Cause::unknown, "unknown"}};
+    {Cause::done, "done"},   {Cause::stopped, "stopped"}, {Cause::peers, "peers"},
+    {Cause::alone, "alone"}, {Cause::error, "error"},     {Cause::no_room, "full"},
+    {Cause::busy, "busy"},   {Cause::unknown, "unknown"}};
 constexpr std::pair<Verb, const char*> verb_words[] = {
     {Verb::launch, "launch"}, {Verb::kill, "kill"}, {Verb::reap, "reap"}};
 
@@ -44,8 +45,12 @@
     return id;
 }
 
-const char* cause_name(Cause cause) { return word_of(cause_words, cause); }
-const char* state_name(TaskState state) { return word_of(state_words, state); }
+const char* cause_name(Cause cause) {
+    return word_of(cause_words, cause);
+}
+const char* state_name(TaskState state) {
+    return word_of(state_words, state);
+}
 
 std::optional<Report> parse_report(const Json& body) {
     auto machine = text(body, "barrow"), address = text(body, "endpoint"), type = text(body, "build"),
@@ -83,13 +88,14 @@
 Json report_json(const Report& r) {
     Json tasks = Json::array();
     for (auto& t : r.tasks) {
-        Json j{{"parcel", t.attempt.task.str()}, {"try", t.attempt.number}, {"standing", state_name(t.state)}};
+        Json j{
+            {"parcel", t.attempt.task.str()}, {"try", t.attempt.number}, {"standing", state_name(t.state)}};
         if (t.cause != Cause::none) j["cause"] = cause_name(t.cause);
         if (t.saved) j["stored"] = true;
         tasks.push_back(std::move(j));
     }
-    Json out{{"barrow", r.machine}, {"endpoint", r.address}, {"build", r.type},  {"yard", r.zone},
-             {"loaners", r.spot},   {"shift", r.session},    {"tally", r.seq},   {"baton", r.token},
+    Json out{{"barrow", r.machine}, {"endpoint", r.address},      {"build", r.type}, {"yard", r.zone},
+             {"loaners", r.spot},   {"shift", r.session},         {"tally", r.seq},  {"baton", r.token},
              {"recall_s", nullptr}, {"parcels", std::move(tasks)}};
     if (r.notice_s) out["recall_s"] = *r.notice_s;
     return out;
@@ -98,7 +104,9 @@
 Json commands_json(const std::vector<Command>& commands) {
     Json out = Json::array();
     for (auto& c : commands) {
-        Json j{{"verb", word_of(verb_words, c.verb)}, {"parcel", c.attempt.task.str()}, {"try", c.attempt.number}};
+        Json j{{"verb", word_of(verb_words, c.verb)},
+               {"parcel", c.attempt.task.str()},
+               {"try", c.attempt.number}};
         if (c.verb == Verb::kill) j["leeway_s"] = c.grace_s;
         out.push_back(std::move(j));
     }
@@ -196,11 +204,14 @@
     return out;
 }
 
-Json rent_body(const std::string& request, const std::string& type, const std::string& zone, bool spot, int n) {
+Json rent_body(const std::string& request, const std::string& type, const std::string& zone, bool spot,
+               int n) {
     return Json{{"hire", request}, {"build", type}, {"yard", zone}, {"loaners", spot}, {"how_many", n}};
 }
 
-Json return_body(const std::vector<std::string>& names) { return Json{{"barrows", names}}; }
+Json return_body(const std::vector<std::string>& names) {
+    return Json{{"barrows", names}};
+}
 
 std::string list_target(const std::string& after, int limit) {
     return "/rentals?since=" + after + "&page=" + std::to_string(limit);
--- a/src/wire/messages.hpp
+++ b/src/wire/messages.hpp
@@ -73,7 +73,8 @@
 // Cloud messages.
 struct MachineType {
     std::string name;
-    double cpus = 0, gpus = 0, mem_gb = 0, cache_gb = 0, fetch_gb_per_s = 0.1, price = 0, spot_price = 0, boot_s = 30;
+    double cpus = 0, gpus = 0, mem_gb = 0, cache_gb = 0, fetch_gb_per_s = 0.1, price = 0, spot_price = 0,
+           boot_s = 30;
     std::vector<std::string> zones;
 };
 struct ListedMachine {
@@ -91,7 +92,8 @@
 Json types_json(const std::vector<MachineType>& types);
 std::optional<MachineList> parse_machine_list(const Json& body);
 std::optional<std::vector<std::string>> parse_machine_names(const Json& body);
-Json rent_body(const std::string& request, const std::string& type, const std::string& zone, bool spot, int n);
+Json rent_body(const std::string& request, const std::string& type, const std::string& zone, bool spot,
+               int n);
 Json return_body(const std::vector<std::string>& names);
 std::string list_target(const std::string& after, int limit);
 
--- a/src/wire/submission.cpp
+++ b/src/wire/submission.cpp
@@ -151,11 +151,16 @@
     return out;
 }
 
-const char* standing_name(Standing s) { return word_for(standings, s); }
-std::optional<Standing> standing_of(const std::string& word) { return lookup(standings, word); }
+const char* standing_name(Standing s) {
+    return word_for(standings, s);
+}
+std::optional<Standing> standing_of(const std::string& word) {
+    return lookup(standings, word);
+}
 
 Json status_json(const JobStatus& s) {
-    return Json{{"name_id", s.id}, {"standing", standing_name(s.standing)}, {"done", s.done}, {"running", s.running}};
+    return Json{
+        {"name_id", s.id}, {"standing", standing_name(s.standing)}, {"done", s.done}, {"running", s.running}};
 }
 
 Json accepted_json(const std::string& id, Standing s) {
--- /dev/null
+++ b/tests/cluster_test.cpp
@@ -0,0 +1,332 @@
+#include "support.hpp"
+
+using namespace barrowrun;
+using namespace barrowrun::testing;
+using wire::Priority;
+using wire::Sort;
+
+TEST(Placement, OldestOfTheHighestLevelFirstAndMisfitsArePassed) {
+    Fleet f;
+    auto low = f.spec("wk-1", 4);
+    low.priority = Priority::low;
+    auto big = f.spec("wk-2", 1, 5);  // fits no small machine
+    auto later = f.spec("wk-3", 3);
+    for (auto* s : {&low, &big, &later}) f.add(*s);
+    f.up("n-1");
+    f.place_all();
+    EXPECT_EQ(f.cluster->find_job("wk-3")->places.size(), 3u);
+    EXPECT_EQ(f.cluster->find_job("wk-1")->places.size(), 1u);
+    EXPECT_EQ(f.cluster->find_job("wk-2")->waiting.size(), 1u);
+    EXPECT_EQ(f.cluster->queue().level(2).begin()->id, "wk-2");  // keeps its place
+}
+
+TEST(Placement, NothingIsSentBeforeItIsOnRecord) {
+    Fleet f;
+    f.up("n-1");
+    f.add(f.spec("wk-1"));
+    f.cluster->round(f.now);
+    EXPECT_TRUE(f.cluster->push_commands(f.machine("n-1"), f.now).empty());
+    auto writes = f.cluster->take_writes(16, 48 * 1024, f.now);
+    ASSERT_EQ(writes.size(), 1u);
+    auto record = state::parse_machine(*writes[0].value);
+    ASSERT_TRUE(record);
+    EXPECT_EQ(record->attempts.size(), 1u);
+    // A transaction that failed changes nothing and is written anew.
+    f.cluster->write_failed(std::move(writes));
+    EXPECT_TRUE(f.cluster->push_commands(f.machine("n-1"), f.now).empty());
+    f.write();
+    EXPECT_EQ(f.cluster->push_commands(f.machine("n-1"), f.now).size(), 1u);
+}
+
+TEST(Placement, ATaskThatMayStillRunIsNotStartedElsewhere) {
+    Fleet f;
+    f.up("n-1");
+    auto& job = f.add(f.spec("wk-1"));
+    f.place_all();
+    f.run("n-1");
+    f.machine("n-1").last_answer = f.now;
+    f.now += 10s;  // silent from here on
+    f.up("n-2");
+    f.place_all();
+    EXPECT_TRUE(f.on("n-2").empty());
+    auto& m = f.machine("n-1");
+    EXPECT_GT(m.lease_end(20, f.cluster->acquired()), f.now + 10s) << "lease, drift and timer steps";
+    f.cluster->lease_over(m, f.now);
+    f.place_all();
+    EXPECT_EQ(f.on("n-2").size(), 1u);
+    EXPECT_EQ(job.places.size(), 1u);
+}
+
+TEST(Placement, AReturnedMachineIsProvenEmpty) {
+    Fleet f;
+    f.up("n-1");
+    auto& job = f.add(f.spec("wk-1", 2));
+    f.place_all();
+    f.run("n-1");
+    f.cluster->machine_gone("n-1", "returned", f.now);
+    EXPECT_EQ(job.waiting.size(), 2u);
+    auto writes = f.write();
+    EXPECT_TRUE(std::any_of(writes.begin(), writes.end(),
+                            [](auto& w) { return w.key == "machines/n-1" && !w.value; }));
+}
+
+TEST(Takeover, InheritedStartsWaitForThisLeadersToken) {
+    Fleet f;
+    f.restart(50);
+    auto& job = f.add(f.spec("wk-1", 2));
+    state::MachineRecord record;
+    record.address = "127.0.0.1:9", record.type = "small", record.zone = "a";
+    record.attempts = {{{"wk-1", 0}, 7}, {{"wk-1", 1}, 8}};
+    f.cluster->inherit("n-1", record, f.now, f.wall);
+    f.up("n-2");
+    f.place_all();
+    EXPECT_TRUE(f.on("n-2").empty());
+    // A report made before the worker saw the new token proves nothing about the old leader's pushes.
+    f.cluster->on_report(f.report("n-1", {}, 49), true, f.now);
+    EXPECT_EQ(job.places.size(), 2u);
+    Attempt zero{{"wk-1", 0}, 7};
+    f.cluster->on_report(f.report("n-1", {{zero, TaskState::running, Cause::none, false}}, 50), false, f.now);
+    EXPECT_EQ(job.places.size(), 1u);
+    EXPECT_TRUE(job.waiting.contains(1));
+    // Attempt numbers of different leaders never meet.
+    f.place_all();
+    for (auto& [index, list] : job.places)
+        for (auto& [name, number] : list) EXPECT_TRUE(index == 0 || number > (50ULL << 20));
+}
+
+TEST(Takeover, ASilentMachineIsCountedFromTheAcquisition) {
+    Fleet f;
+    f.restart(50);
+    f.add(f.spec("wk-1"));
+    state::MachineRecord record;
+    record.attempts = {{{"wk-1", 0}, 7}};
+    f.cluster->inherit("n-1", record, f.now, f.wall);
+    EXPECT_GE(f.machine("n-1").lease_end(20, f.cluster->acquired()), f.now + 20s);
+}
+
+TEST(Finish, ResultsAreOnRecordBeforeTheyAreToldOrReaped) {
+    Fleet f;
+    f.up("n-1");
+    auto& job = f.add(f.spec("wk-1"));
+    f.place_all();
+    f.run("n-1");
+    auto a = f.on("n-1").at(0);
+    f.cluster->on_report(f.report("n-1", {{a, TaskState::exited, Cause::done, false}}), true, f.now);
+    EXPECT_EQ(job.standing(), wire::Standing::queued);
+    EXPECT_TRUE(f.cluster->reply_commands(f.machine("n-1"), f.now).empty());
+    auto writes = f.write();
+    ASSERT_GE(writes.size(), 2u);
+    EXPECT_EQ(writes[0].key, "past/wk-1");
+    EXPECT_FALSE(f.cluster->find_job("wk-1"));
+    EXPECT_EQ(f.cluster->past("wk-1")->standing, wire::Standing::done);
+    auto commands = f.cluster->reply_commands(f.machine("n-1"), f.now);
+    ASSERT_EQ(commands.size(), 1u);
+    EXPECT_EQ(commands[0].verb, Verb::reap);
+}
+
+TEST(Cancel, AgainstAStartThatWasNotSentYet) {
+    Fleet f;
+    f.up("n-1");
+    auto& job = f.add(f.spec("wk-1", 2));
+    f.cluster->round(f.now);
+    f.cluster->cancel(job, f.now);
+    EXPECT_NE(job.standing(), wire::Standing::cancelled) << "not before it is on record";
+    f.write();
+    EXPECT_EQ(job.standing(), wire::Standing::cancelled);
+    for (auto& c : f.cluster->push_commands(f.machine("n-1"), f.now)) EXPECT_NE(c.verb, Verb::launch);
+    f.write();
+    EXPECT_EQ(f.cluster->past("wk-1")->standing, wire::Standing::cancelled);
+}
+
+TEST(Cancel, AgainstALaunchInFlightAndAgainstDone) {
+    Fleet f;
+    f.up("n-1");
+    auto& job = f.add(f.spec("wk-1"));
+    f.place_all();
+    auto sent = f.cluster->push_commands(f.machine("n-1"), f.now);
+    f.cluster->cancel(job, f.now);
+    f.cluster->push_answered(f.machine("n-1"), sent, 10, true, false, f.now);
+    auto a = sent.at(0).attempt;
+    f.cluster->on_report(f.report("n-1", {{a, TaskState::running, Cause::none, false}}), false, f.now);
+    auto commands = f.cluster->push_commands(f.machine("n-1"), f.now);
+    ASSERT_EQ(commands.size(), 1u);
+    EXPECT_EQ(commands[0].verb, Verb::kill);
+    EXPECT_EQ(commands[0].grace_s, 0);
+    // It may complete before the kill arrives: the job stays cancelled.
+    f.cluster->on_report(f.report("n-1", {{a, TaskState::exited, Cause::done, false}}), true, f.now);
+    f.write();
+    f.write();
+    EXPECT_EQ(f.cluster->past("wk-1")->standing, wire::Standing::cancelled);
+}
+
+TEST(Cancel, TasksOfNoKnownJobAreStopped) {
+    Fleet f;
+    Attempt a{{"wk-9", 0}, 3};
+    f.cluster->on_report(f.report("n-1", {{a, TaskState::running, Cause::none, false}}), true, f.now);
+    auto commands = f.cluster->reply_commands(f.machine("n-1"), f.now);
+    ASSERT_EQ(commands.size(), 1u);
+    EXPECT_EQ(commands[0].verb, Verb::kill);
+}
+
+TEST(Constraints, SpreadCountsTasksThatMayStillRun) {
+    Fleet f;
+    auto s = f.spec("wk-1", 3);
+    s.spread = true;
+    s.sort = Sort::service;
+    auto& job = f.add(s);
+    f.up("n-1", "a");
+    f.place_all();
+    EXPECT_EQ(job.places.size(), 2u);  // two of three may share a zone
+    f.up("n-2", "b");
+    f.place_all();
+    EXPECT_EQ(job.places.size(), 3u);
+    EXPECT_EQ(f.on("n-2").size(), 1u);
+}
+
+TEST(Constraints, SamePlaceCountsTasksThatMayStillRun) {
+    Fleet f;
+    auto s = f.spec("wk-1", 6);
+    s.one_zone = true;
+    auto& job = f.add(s);
+    f.up("n-1", "a");
+    f.up("n-2", "b");
+    f.place_all();
+    EXPECT_EQ(job.places.size(), 4u);
+    EXPECT_TRUE(f.on("n-1").empty() || f.on("n-2").empty());
+}
+
+TEST(Constraints, TheTeamLimitCountsTasksThatMayStillRun) {
+    placement::Rules rules;
+    rules.teams["crew"] = {0, 0, 3, 0};
+    Fleet f(rules);
+    f.up("n-1");
+    auto& job = f.add(f.spec("wk-1", 8));
+    f.place_all();
+    EXPECT_EQ(job.places.size(), 3u);
+    f.machine("n-1").suspect = true;  // silent, but what it ran may go on
+    f.up("n-2");
+    f.place_all();
+    EXPECT_TRUE(f.on("n-2").empty());
+}
+
+TEST(Constraints, OnlyJobsThatMayUseSpotMachinesDo) {
+    Fleet f;
+    f.up("n-1", "a", "small", true);
+    auto& job = f.add(f.spec("wk-1"));
+    f.place_all();
+    EXPECT_TRUE(job.places.empty());
+    auto s = f.spec("wk-2");
+    s.spot_ok = true;
+    f.add(s);
+    f.place_all();
+    EXPECT_EQ(f.on("n-1").size(), 1u);
+}
+
+TEST(Gang, AllOrNoneAndAgainOnlyWhenAllAreGone) {
+    Fleet f;
+    auto s = f.spec("wk-1", 3, 2);
+    s.sort = Sort::gang;
+    auto& job = f.add(s);
+    f.up("n-1");
+    f.place_all();
+    EXPECT_TRUE(job.places.empty());
+    f.up("n-2");
+    f.place_all();
+    ASSERT_EQ(job.places.size(), 3u);
+    std::set<std::uint64_t> numbers;
+    for (auto name : {"n-1", "n-2"})
+        for (auto& a : f.on(name)) numbers.insert(a.number);
+    EXPECT_EQ(numbers.size(), 1u) << "the tasks of a gang find one another by their attempt";
+    f.run("n-1");
+    f.run("n-2");
+    // One machine is lost: the rest is stopped, and nothing starts before it is gone.
+    std::string lost = f.on("n-1").size() == 1 ? "n-1" : "n-2", rest = lost == "n-1" ? "n-2" : "n-1";
+    f.cluster->machine_gone(lost, "returned", f.now);
+    f.up("n-3");
+    f.place_all();
+    EXPECT_TRUE(f.on("n-3").empty());
+    auto kills = f.cluster->push_commands(f.machine(rest), f.now);
+    EXPECT_EQ(kills.size(), 2u);
+    f.cluster->on_report(f.report(rest), true, f.now);
+    f.place_all();
+    EXPECT_EQ(job.places.size(), 3u);
+}
+
+TEST(Preemption, ProductionTakesRoomFromLowerWorkButNeverFromItsOwnLevel) {
+    Fleet f;
+    f.up("n-1");
+    auto batch = f.spec("wk-1", 4);
+    f.add(batch);
+    f.place_all();
+    f.run("n-1");
+    auto same = f.spec("wk-2");
+    f.add(same);
+    f.place_all();
+    EXPECT_TRUE(f.cluster->push_commands(f.machine("n-1"), f.now).empty());
+    auto service = f.spec("wk-3");
+    service.sort = Sort::service;
+    service.priority = Priority::production;
+    f.add(service);
+    f.place_all();
+    auto kills = f.cluster->push_commands(f.machine("n-1"), f.now);
+    ASSERT_EQ(kills.size(), 1u);
+    EXPECT_EQ(kills[0].attempt.task.job, "wk-1");
+    // While the room is being made, no further victim is picked.
+    f.place_all();
+    int stopped = 0;
+    for (auto& [a, e] : f.machine("n-1").entries) stopped += e.stop;
+    EXPECT_EQ(stopped, 1);
+}
+
+TEST(Errors, AJobThatFailsEverywhereBacksOffAndKeepsTheMachines) {
+    Fleet f;
+    f.up("n-1");
+    auto& job = f.add(f.spec("wk-1"));
+    TimePoint last_retry{};
+    for (int i = 0; i < 4; ++i) {
+        f.now = std::max(f.now, job.retry_at);
+        f.cluster->on_report(f.report("n-1"), true, f.now);
+        f.place_all();
+        auto list = f.on("n-1");
+        ASSERT_EQ(list.size(), 1u) << i;
+        f.run("n-1");
+        f.cluster->on_report(f.report("n-1", {{list[0], TaskState::exited, Cause::error, false}}), true,
+                             f.now);
+        EXPECT_GT(job.retry_at - f.now, i > 0 ? last_retry - TimePoint{} : 0s);
+        last_retry = TimePoint{} + (job.retry_at - f.now);
+        f.cluster->on_report(f.report("n-1"), true, f.now);
+    }
+}
+
+TEST(Drain, ANoticedMachineGetsNothingNewAndSavesWhatCanBeSaved) {
+    Fleet f;
+    f.up("n-1", "a", "small", true);
+    auto s = f.spec("wk-1");
+    s.spot_ok = true;
+    s.checkpoint_s = 15;
+    s.save_s = 5;
+    f.add(s);
+    f.place_all();
+    f.run("n-1");
+    auto r = f.report("n-1", {{f.on("n-1").at(0), TaskState::running, Cause::none, false}});
+    r.notice_s = 12;
+    f.cluster->on_report(r, true, f.now);
+    f.cluster->tick(f.now);
+    auto commands = f.cluster->push_commands(f.machine("n-1"), f.now);
+    ASSERT_EQ(commands.size(), 1u);
+    EXPECT_EQ(commands[0].verb, Verb::kill);
+    EXPECT_GE(commands[0].grace_s, 5);
+    f.add(f.spec("wk-2"));
+    f.place_all();
+    EXPECT_EQ(f.on("n-1").size(), 1u);
+}
+
+TEST(Queue, AHundredThousandTasksCostNoWalkPerRound) {
+    Fleet f;
+    for (int i = 0; i < 2; ++i) f.add(f.spec("wk-" + std::to_string(i), 100'000, 4));
+    f.up("n-1");
+    auto begin = std::chrono::steady_clock::now();
+    for (int i = 0; i < 200; ++i) f.cluster->round(f.now);
+    EXPECT_LT(std::chrono::steady_clock::now() - begin, 2s);
+    EXPECT_EQ(f.cluster->queue().waiting(), 199'999u);
+}
--- /dev/null
+++ b/tests/machine_test.cpp
@@ -0,0 +1,117 @@
+#include "support.hpp"
+
+using namespace barrowrun;
+using namespace barrowrun::testing;
+
+namespace {
+struct MachineTest : ::testing::Test {
+    Fleet f;
+    Attempt only(const std::string& name) {
+        auto list = f.on(name);
+        EXPECT_EQ(list.size(), 1u);
+        return list.at(0);
+    }
+};
+}  // namespace
+
+// A push without an answer may execute as long as token and session match: an absence proves nothing.
+TEST_F(MachineTest, LateLaunchIsNotSettledByALaterReportWithoutIt) {
+    f.up("n-1");
+    auto& job = f.add(f.spec("wk-1"));
+    f.place_all();
+    auto sent = f.cluster->push_commands(f.machine("n-1"), f.now);
+    ASSERT_EQ(sent.size(), 1u);
+    f.cluster->push_answered(f.machine("n-1"), sent, 10, false, true, f.now);
+    f.cluster->on_report(f.report("n-1"), true, f.now);
+    EXPECT_EQ(job.places.size(), 1u);
+    EXPECT_TRUE(job.waiting.empty());
+    // Once the worker has seen a newer token, the old launch is dead.
+    f.cluster->on_report(f.report("n-1", {}, 11), true, f.now);
+    EXPECT_TRUE(job.places.empty());
+    EXPECT_EQ(job.waiting.size(), 1u);
+}
+
+TEST_F(MachineTest, NothingIsReapedWhileALaunchOfItMayBeOnItsWay) {
+    f.up("n-1");
+    f.add(f.spec("wk-1"));
+    f.place_all();
+    auto sent = f.cluster->push_commands(f.machine("n-1"), f.now);
+    f.cluster->push_answered(f.machine("n-1"), sent, 10, false, true, f.now);
+    auto a = only("n-1");
+    TaskStatus failed{a, TaskState::exited, Cause::error, false};
+    f.cluster->on_report(f.report("n-1", {failed}), true, f.now);
+    EXPECT_TRUE(f.cluster->reply_commands(f.machine("n-1"), f.now).empty());
+    f.cluster->on_report(f.report("n-1", {failed}, 11), true, f.now);
+    auto commands = f.cluster->reply_commands(f.machine("n-1"), f.now);
+    ASSERT_EQ(commands.size(), 1u);
+    EXPECT_EQ(commands[0].verb, Verb::reap);
+}
+
+TEST_F(MachineTest, LaunchInAResponseIsSettledByTheNextReportOnly) {
+    auto& m = f.up("n-1");
+    auto& job = f.add(f.spec("wk-1"));
+    m.push_ok = false;
+    f.place_all();
+    f.cluster->on_report(f.report("n-1"), true, f.now);
+    auto sent = f.cluster->reply_commands(m, f.now);
+    ASSERT_EQ(sent.size(), 1u);
+    // An answer of /commands may have been made before the response arrived.
+    f.cluster->on_report(f.report("n-1"), false, f.now);
+    EXPECT_EQ(job.places.size(), 1u);
+    f.cluster->on_report(f.report("n-1"), true, f.now);
+    EXPECT_TRUE(job.places.empty());
+}
+
+TEST_F(MachineTest, AReportThatCrossesAPushProvesNothing) {
+    f.up("n-1");
+    auto& job = f.add(f.spec("wk-1"));
+    f.place_all();
+    f.cluster->push_commands(f.machine("n-1"), f.now);
+    f.cluster->on_report(f.report("n-1"), true, f.now);
+    EXPECT_EQ(job.places.size(), 1u);
+}
+
+TEST_F(MachineTest, OlderReportsChangeNothing) {
+    f.up("n-1");
+    auto& job = f.add(f.spec("wk-1"));
+    f.place_all();
+    auto old = f.report("n-1");
+    f.run("n-1");
+    EXPECT_FALSE(f.cluster->on_report(old, true, f.now));
+    old.session = 0;
+    old.seq = 999;
+    EXPECT_FALSE(f.cluster->on_report(old, true, f.now));
+    EXPECT_EQ(job.places.size(), 1u);
+}
+
+TEST_F(MachineTest, AHigherSessionProvesTheEarlierOneEmpty) {
+    f.up("n-1");
+    auto& job = f.add(f.spec("wk-1"));
+    f.place_all();
+    auto sent = f.cluster->push_commands(f.machine("n-1"), f.now);
+    f.cluster->push_answered(f.machine("n-1"), sent, 10, false, true, f.now);
+    auto r = f.report("n-1");
+    r.session = 2;
+    r.seq = 1;
+    EXPECT_TRUE(f.cluster->on_report(r, true, f.now));
+    EXPECT_TRUE(job.places.empty());
+}
+
+TEST_F(MachineTest, ARefusedPushIsSentAgain) {
+    f.up("n-1");
+    f.add(f.spec("wk-1"));
+    f.place_all();
+    auto sent = f.cluster->push_commands(f.machine("n-1"), f.now);
+    f.cluster->push_answered(f.machine("n-1"), sent, 10, false, false, f.now);  // 409
+    EXPECT_EQ(f.cluster->push_commands(f.machine("n-1"), f.now).size(), 1u);
+}
+
+TEST_F(MachineTest, ImageCacheForgetsTheLeastRecentlyUsed) {
+    auto& m = f.up("n-1");
+    for (auto name : {"a", "b", "c"}) m.use_image(name, 10);
+    EXPECT_TRUE(m.has_image("a"));
+    m.use_image("a", 10);
+    m.use_image("d", 10);
+    EXPECT_FALSE(m.has_image("b"));
+    EXPECT_TRUE(m.has_image("a") && m.has_image("c") && m.has_image("d"));
+}
--- /dev/null
+++ b/tests/peers_test.cpp
@@ -0,0 +1,122 @@
+// Scripted peers on loopback: what the clients make of answers, silence and garbage.
+#include <gtest/gtest.h>
+
+#include <functional>
+
+#include "fleet/cloud_client.hpp"
+#include "net/http_server.hpp"
+#include "state/state_client.hpp"
+
+using namespace barrowrun;
+using net::asio::ip::tcp;
+using state::Outcome;
+using namespace std::chrono_literals;
+
+namespace {
+
+// A peer that reads a request and then answers by script: a status and body, raw bytes, or nothing at all.
+struct Scripted {
+    net::asio::io_context io;
+    tcp::acceptor acceptor{io, tcp::endpoint(net::asio::ip::make_address("127.0.0.1"), 0)};
+    std::string reply;  // empty: the connection is closed without an answer
+    std::string address() const { return "127.0.0.1:" + std::to_string(acceptor.local_endpoint().port()); }
+    void answer(int status, const wire::Json& body) {
+        auto b = wire::encode(body);
+        reply = "HTTP/1.1 " + std::to_string(status) + " x\r\nContent-Length: " + std::to_string(b.size()) +
+                "\r\n\r\n" + b;
+    }
+    template <class T>
+    T play(std::function<net::Task<T>()> call) {
+        auto serve = [](Scripted* self) -> net::Task<> {
+            for (;;) {
+                auto socket = co_await self->acceptor.async_accept(net::asio::use_awaitable);
+                net::beast::flat_buffer buffer;
+                net::http::request<net::http::string_body> request;
+                co_await net::http::async_read(socket, buffer, request, net::asio::use_awaitable);
+                if (!self->reply.empty())
+                    co_await net::asio::async_write(socket, net::asio::buffer(self->reply),
+                                                    net::asio::use_awaitable);
+            }
+        };
+        net::asio::co_spawn(io, serve(this), net::asio::detached);
+        std::optional<T> out;
+        auto run = [](Scripted* self, std::function<net::Task<T>()> f, std::optional<T>* o) -> net::Task<> {
+            *o = co_await f();
+            self->io.stop();
+        };
+        net::asio::co_spawn(io, run(this, call, &out), net::asio::detached);
+        io.run_for(5s);
+        EXPECT_TRUE(out.has_value());
+        return std::move(*out);
+    }
+};
+
+state::TxnResult transact(Scripted& peer) {
+    state::StateClient client(peer.io, peer.address(), 100, 100);
+    return peer.play<state::TxnResult>([&]() -> net::Task<state::TxnResult> {
+        std::vector<state::Condition> conditions(1);
+        std::vector<state::Operation> operations(1);
+        conditions[0].key = operations[0].key = "k";
+        return client.txn(conditions, operations);
+    });
+}
+
+}  // namespace
+
+TEST(StateClient, ATransactionWithoutAnAnswerIsUnknown) {
+    Scripted silent;
+    EXPECT_EQ(transact(silent).outcome, Outcome::unknown);
+    Scripted garbage;
+    garbage.reply = "HTTP/1.1 200 x\r\nContent-Length: 1\r\n\r\n\xc1";
+    EXPECT_EQ(transact(garbage).outcome, Outcome::unknown);
+}
+
+TEST(StateClient, RefusalsAndConflictsAreKnownNotToBeExecuted) {
+    Scripted refused;
+    refused.answer(503, wire::Json::object());
+    EXPECT_EQ(transact(refused).outcome, Outcome::refused);
+    Scripted conflict;
+    conflict.answer(409, {{"failed", {"k"}}, {"ledger", 9}});
+    EXPECT_EQ(transact(conflict).outcome, Outcome::conflict);
+    Scripted ok;
+    ok.answer(200, {{"ledger", 12}});
+    auto result = transact(ok);
+    EXPECT_EQ(result.outcome, Outcome::ok);
+    EXPECT_EQ(result.revision, 12u);
+}
+
+// A 404 makes a job "unknown" to its user: only the service's own word counts.
+TEST(StateClient, AbsenceNeedsTheServicesOwnAnswer) {
+    auto look = [](Scripted& peer) {
+        state::StateClient client(peer.io, peer.address(), 100, 100);
+        return peer.play<state::Value>([&]() -> net::Task<state::Value> { return client.get("k"); }).outcome;
+    };
+    Scripted real;
+    real.answer(404, {{"ledger", 4}});
+    EXPECT_EQ(look(real), Outcome::absent);
+    Scripted strange;
+    strange.answer(404, wire::Json::object());
+    EXPECT_EQ(look(strange), Outcome::unknown);
+    Scripted silent;
+    EXPECT_EQ(look(silent), Outcome::unknown);
+}
+
+TEST(CloudClient, ARentalWithoutAnAnswerIsUnknownAndNoCapacityIsFinal) {
+    auto rent = [](Scripted& peer) {
+        fleet::CloudClient client(peer.io, peer.address(), 10);
+        return peer
+            .play<fleet::RentResult>(
+                [&]() -> net::Task<fleet::RentResult> { return client.rent("r-1", "g8", "a", false, 2); })
+            .outcome;
+    };
+    Scripted silent, full, trouble, garbage, granted;
+    EXPECT_EQ(rent(silent), fleet::RentOutcome::unknown);
+    full.answer(503, {{"error", "no capacity"}});
+    EXPECT_EQ(rent(full), fleet::RentOutcome::no_capacity);
+    trouble.answer(503, {{"error", "trouble"}});
+    EXPECT_EQ(rent(trouble), fleet::RentOutcome::unknown);
+    garbage.answer(200, {{"barrows", {1, 2}}});
+    EXPECT_EQ(rent(garbage), fleet::RentOutcome::unknown);
+    granted.answer(200, {{"barrows", {"n-1"}}});
+    EXPECT_EQ(rent(granted), fleet::RentOutcome::granted);
+}
--- /dev/null
+++ b/tests/support.hpp
@@ -0,0 +1,103 @@
+#pragma once
+// A fake clock and a small fleet for the decision tests.
+#include <gtest/gtest.h>
+
+#include "fleet/renting.hpp"
+#include "placement/cluster.hpp"
+
+namespace barrowrun::testing {
+
+using namespace std::chrono_literals;
+using fleet::Machine;
+using placement::Cluster;
+using placement::Job;
+using wire::Attempt;
+using wire::Cause;
+using wire::Command;
+using wire::Report;
+using wire::TaskState;
+using wire::TaskStatus;
+using wire::Verb;
+
+struct Fleet {
+    TimePoint now = TimePoint{} + 1000s;
+    std::int64_t wall = 1'000'000;
+    placement::Rules rules;
+    std::unique_ptr<Cluster> cluster;
+    std::map<std::string, std::uint64_t> seq;
+
+    explicit Fleet(placement::Rules r = {}) : rules(std::move(r)) {
+        if (rules.teams.empty()) rules.teams["crew"] = {};
+        restart(10);
+    }
+    void restart(std::uint64_t token) {
+        cluster = std::make_unique<Cluster>(rules);
+        cluster->lead(token, now);
+        std::vector<wire::MachineType> types(2);
+        types[0] = {"small", 4, 0, 32, 30, 0.5, 1.0, 0.2, 25, {"a", "b"}};
+        types[1] = {"card", 16, 4, 128, 100, 0.5, 10.0, 4.0, 30, {"a", "b"}};
+        cluster->set_types(types);
+    }
+    wire::JobSpec spec(const std::string& id, std::uint32_t tasks = 1, double cpus = 1) {
+        wire::JobSpec s;
+        s.id = id;
+        s.job_class = "batch";
+        s.team = "crew";
+        s.tasks = tasks;
+        s.need = {cpus, 0, 1};
+        s.image = "img";
+        s.image_gb = 1;
+        s.estimate_s = 20;
+        return s;
+    }
+    Job& add(const wire::JobSpec& s) { return cluster->add_job({s, wall++}, nullptr, now, wall); }
+    // A report of the machine; everything the cluster holds as sent is left as given.
+    Report report(const std::string& name, std::vector<TaskStatus> tasks = {}, std::uint64_t token = 10,
+                  const std::string& zone = "a", const std::string& type = "small", bool spot = false) {
+        Report r;
+        r.machine = name;
+        r.address = "127.0.0.1:9";
+        r.type = type;
+        r.zone = zone;
+        r.spot = spot;
+        r.session = 1;
+        r.seq = ++seq[name];
+        r.token = token;
+        r.tasks = std::move(tasks);
+        return r;
+    }
+    Machine& up(const std::string& name, const std::string& zone = "a", const std::string& type = "small",
+                bool spot = false) {
+        cluster->on_report(report(name, {}, 10, zone, type, spot), true, now);
+        return *cluster->find_machine(name);
+    }
+    Machine& machine(const std::string& name) { return *cluster->find_machine(name); }
+    // Lets everything that waits be written.
+    std::vector<placement::Write> write() {
+        auto all = cluster->take_writes(1000, 1 << 20, now);
+        for (auto& w : all)
+            if (w.durable) w.durable();
+        return all;
+    }
+    std::vector<Attempt> on(const std::string& name) {
+        std::vector<Attempt> out;
+        for (auto& [a, e] : machine(name).entries) out.push_back(a);
+        return out;
+    }
+    // Pushes what is to be sent, and answers with a report that shows the launches running.
+    std::vector<Command> run(const std::string& name) {
+        auto commands = cluster->push_commands(machine(name), now);
+        std::vector<TaskStatus> tasks;
+        for (auto& [a, e] : machine(name).entries)
+            tasks.push_back({a, TaskState::running, Cause::none, false});
+        cluster->push_answered(machine(name), commands, cluster->token(), true, false, now);
+        cluster->on_report(report(name, tasks, cluster->token(), machine(name).zone), false, now);
+        return commands;
+    }
+    void place_all() {
+        cluster->round(now);
+        write();
+    }
+};
+
+}  // namespace barrowrun::testing
