Services go where their image is when a fetch would miss their start aim

Excluded: lack of room (preemption took 10 ms), slow writes (start on record 10 ms after acceptance). Change: if the fetch alone passes the time left, lower work yields on a machine that has the image.

--- a/src/placement/cluster.cpp
+++ b/src/placement/cluster.cpp
@@ -543,7 +543,9 @@
     set_waiting(job, index, false);
     usage_[job.spec.team] += job.spec.need;
     mark_machine_dirty(m.name);
-    spdlog::debug("place {} attempt {} on {}", a.task.str(), attempt, m.name);
+    spdlog::debug("place {} attempt {} on {}, image {}, {:.2f} s after it was accepted", a.task.str(),
+                  attempt, m.name, m.has_image(job.spec.image) ? "there" : "to fetch",
+                  Seconds(now - job.accepted).count());
 }
 
 bool Cluster::place_gang(Job& job, TimePoint now) {
@@ -606,8 +608,8 @@
 }
 
 // Lower work makes room for production and urgent work. Room that is already being made is waited for.
-bool Cluster::preempt_for(Job& job, TimePoint now) {
-    if (job.spec.priority > Priority::high) return false;
+Cluster::Room Cluster::make_room(Job& job, TimePoint now, bool with_image) {
+    if (job.spec.priority > Priority::high) return Room::none;
     struct Plan {
         Machine* machine = nullptr;
         std::vector<Attempt> victims;
@@ -616,6 +618,7 @@
     for (auto& [name, mp] : machines_) {
         Machine& m = *mp;
         if (!usable(m, now) || !allowed(job.spec, m) || !zone_ok(job, m.zone) || m.slowness > 1.8) continue;
+        if (with_image && !m.has_image(job.spec.image)) continue;
         wire::Resources room = m.room();
         for (auto& [a, e] : m.entries)
             if (e.stop && !e.exited()) room += e.need;
@@ -623,7 +626,7 @@
         if (job.spec.need.fits(room)) {
             // Stopped tasks are on their way out here.
             reserved_[name] += job.spec.need;
-            return false;
+            return Room::coming;
         }
         struct Victim {
             Attempt a;
@@ -654,7 +657,7 @@
         if (!job.spec.need.fits(room) || plan.victims.empty()) continue;
         if (!best.machine || plan.cost < best.cost) best = std::move(plan);
     }
-    if (!best.machine) return false;
+    if (!best.machine) return Room::none;
     spdlog::info("{} makes room on {}: {} lower tasks stop", job.spec.id, best.machine->name,
                  best.victims.size());
     for (auto& a : best.victims) {
@@ -663,7 +666,15 @@
                   "preempted");
     }
     reserved_[best.machine->name] += job.spec.need;
-    return true;
+    return Room::made;
+}
+
+double Cluster::start_slack(const Job& job, TimePoint now) const {
+    double slack = 1e9;
+    for (auto& o : rules_.objectives)
+        if (o.kind == "wait" && o.job_class == job.spec.job_class)
+            slack = std::min(slack, o.within_s - Seconds(now - job.accepted).count());
+    return slack;
 }
 
 bool Cluster::round(TimePoint now) {
@@ -697,32 +708,46 @@
                     placed += s.tasks;
                     acted = true;
                 } else if (job->places.empty()) {
-                    if (s.tasks == 1) acted |= preempt_for(*job, now);
+                    if (s.tasks == 1) acted |= make_room(*job, now, false) == Room::made;
                     if (!s.one_zone && !s.spread && s.tasks == 1) misfits.insert(shape);
                 }
                 continue;
             }
-            while (!job->waiting.empty() && placed < 400) {
-                if (!team_has_room(*job, 1)) break;
-                std::uint32_t index = *job->waiting.first();
+            std::uint32_t cursor = 0;
+            while (auto next = job->waiting.next(cursor)) {
+                if (placed >= 400 || !team_has_room(*job, 1)) break;
+                std::uint32_t index = *next;
                 Machine* m = misfits.contains(shape) ? nullptr : choose(*job, now, none);
                 // The worker refuses a second attempt of a task that it still lists.
                 if (m && m->holds_task({id, index})) {
                     touch(m->name);
                     break;
                 }
+                if (m && s.priority <= Priority::high && !m->has_image(s.image)) {
+                    // The fetch alone would take longer than the start may: lower work yields where the image
+                    // is.
+                    double slack = start_slack(*job, now);
+                    if (slack > 0.2 && s.image_gb / m->fetch_gb_per_s > slack) {
+                        auto made = make_room(*job, now, true);
+                        if (made != Room::none) {
+                            acted |= made == Room::made;
+                            cursor = index + 1;
+                            continue;
+                        }
+                    }
+                }
                 if (!m) {
                     if (!s.spread && !s.one_zone) misfits.insert(shape);
-                    if (s.priority <= Priority::high) {
-                        // One try of preemption for each task that waits, within reason.
-                        std::uint32_t tries = std::min<std::uint32_t>(job->waiting.size(), 16);
-                        for (std::uint32_t k = 0; k < tries; ++k) acted |= preempt_for(*job, now);
-                    }
+                    // One try of preemption for each task that waits, within reason.
+                    std::uint32_t tries = std::min<std::uint32_t>(job->waiting.size(), 16);
+                    for (std::uint32_t k = 0; k < tries; ++k)
+                        acted |= make_room(*job, now, false) == Room::made;
                     break;
                 }
                 place(*job, index, *m, next_attempt(), now);
                 ++placed;
                 acted = true;
+                cursor = index + 1;
             }
         }
     }
--- a/src/placement/cluster.hpp
+++ b/src/placement/cluster.hpp
@@ -156,7 +156,9 @@
     Machine* choose(const Job& job, TimePoint now, const std::map<std::string, wire::Resources>& taken);
     void place(Job& job, std::uint32_t index, Machine& m, std::uint64_t attempt, TimePoint now);
     bool place_gang(Job& job, TimePoint now);
-    bool preempt_for(Job& job, TimePoint now);
+    enum class Room { none, coming, made };
+    Room make_room(Job& job, TimePoint now, bool with_image);
+    double start_slack(const Job& job, TimePoint now) const;  // until its tasks should have started
     bool team_has_room(const Job& job, std::uint32_t tasks) const;
     void reconcile_reported(Machine& m, TimePoint now);
     void stop_gang(Job& job, double grace, TimePoint now, const char* why);
--- a/tests/cluster_test.cpp
+++ b/tests/cluster_test.cpp
@@ -330,3 +330,29 @@
     EXPECT_LT(std::chrono::steady_clock::now() - begin, 2s);
     EXPECT_EQ(f.cluster->queue().waiting(), 199'999u);
 }
+
+// A fetch can take longer than a service may wait: lower work yields where the image already is.
+TEST(Preemption, AServiceWithLittleTimeGoesWhereItsImageIs) {
+    placement::Rules rules;
+    rules.teams["crew"] = {};
+    rules.objectives = {{"wait", "web", 1.0, 1}};
+    Fleet f(rules);
+    f.up("n-1").use_image("web-img", 1);
+    f.add(f.spec("wk-1", 4));
+    f.place_all();
+    f.run("n-1");
+    f.up("n-2");  // free, but without the image
+    auto s = f.spec("wk-2");
+    s.job_class = "web";
+    s.image = "web-img";
+    s.sort = Sort::service;
+    s.priority = Priority::production;
+    f.add(s);
+    f.place_all();
+    EXPECT_TRUE(f.on("n-2").empty());
+    EXPECT_EQ(f.cluster->push_commands(f.machine("n-1"), f.now).size(), 1u);
+    f.now += 2s;  // too late for that: any room will do
+    f.up("n-2");
+    f.place_all();
+    EXPECT_EQ(f.on("n-2").size(), 1u);
+}
