--- a/src/fleet/renting.cpp
+++ b/src/fleet/renting.cpp
@@ -48,6 +48,14 @@
     return left;
 }
 
+// Usual boots take up to 1.5 times the nominal time.
+constexpr double late_boot = 1.7, hopeless_boot = 2.5;
+
+double boot_s(const Cluster& cluster, const Machine& m) {
+    auto t = cluster.types().find(m.type);
+    return t == cluster.types().end() ? 60 : t->second.boot_s;
+}
+
 }  // namespace
 
 RentPlan Renting::plan(const Cluster& cluster, TimePoint now) {
@@ -56,6 +64,8 @@
     std::vector<Bin> bins;
     for (auto& [name, m] : cluster.machines()) {
         if (m->returning || m->drain || m->suspect || m->taken_at || m->capacity.mem_gb <= 0) continue;
+        // A machine that takes much longer than usual to come up may never do so: it is not counted on.
+        if (!m->up && m->entries.empty() && now - m->rented > secs(late_boot * boot_s(cluster, *m))) continue;
         Bin b{name, m->type, m->zone, m->spot, false, m->room(), {}, m->live() > 0};
         for (auto& [a, e] : m->entries)
             if (e.stop && !e.exited()) b.room += e.need;
@@ -193,10 +203,9 @@
     }
     for (auto& [name, m] : cluster.machines()) {
         if (m->returning) continue;
-        auto t = cluster.types().find(m->type);
-        double boot = t == cluster.types().end() ? 60 : t->second.boot_s;
-        bool never = !m->up && m->entries.empty() && now - m->rented > secs(3 * boot + 15) &&
-                     now - m->known > secs(20);
+        bool never = !m->up && m->entries.empty() &&
+                     now - m->rented > secs(hopeless_boot * boot_s(cluster, *m) + 5) &&
+                     now - m->known > secs(15);
         if (never) {
             spdlog::warn("machine {} has not come up in {:.0f} s: it is returned", name,
                          Seconds(now - m->rented).count());
