Silent machines are asked early and given up after two questions; silent takeovers too

Change: a machine that runs replicas is asked 1.2 s after its last word, others when their report is overdue; two questions without an answer, and it is returned. Mass silence waits for the leases.

--- a/src/api/leader.cpp
+++ b/src/api/leader.cpp
@@ -336,11 +336,15 @@
 Task<> Leader::probe(std::string name) {
     auto* m = cluster_.find_machine(name);
     if (!m || m->address.empty()) co_return;
-    auto reply = co_await services_.workers.call(m->address, verb::get, "/inspect", std::nullopt, 1200ms);
+    auto reply = co_await services_.workers.call(m->address, verb::get, "/inspect", std::nullopt, 1000ms);
     m = cluster_.find_machine(name);
-    if (!m || reply.status != 200) co_return;
-    auto report = wire::parse_report(reply.body);
-    if (!report || report->machine != name) co_return;
+    if (!m) co_return;
+    m->probing = false;
+    auto report = reply.status == 200 ? wire::parse_report(reply.body) : std::nullopt;
+    if (!report || report->machine != name) {
+        m->missed++;
+        co_return;
+    }
     m->push_ok = true;
     cluster_.on_report(*report, false, Clock::now());
     place_wake_.wake();
@@ -423,33 +427,39 @@
 }
 
 std::vector<std::string> Leader::silent(TimePoint now) {
-    // A machine that neither reports nor answers is proven empty quickest by returning it. Not when much of
-    // the fleet is silent: then the trouble is more likely on our side.
+    // A machine that neither reports nor answers is proven empty quickest by returning it. It is asked before
+    // its report is long overdue, sooner if users depend on what it runs, and is given up after two
+    // questions.
     std::vector<std::string> out;
-    std::size_t reporting = 0, quiet = 0;
-    auto limit = secs(2 * services_.settings.rules.report_s + 1.5);
+    const auto& rules = services_.settings.rules;
+    std::size_t known = 0, quiet = 0;
+    // A machine that a predecessor gave tasks to was up; one that this leader never heard is silent since it
+    // leads.
+    auto heard = [&](const fleet::Machine& m) { return std::max(m.last_report, acquired_); };
     for (auto& [name, m] : cluster_.machines()) {
-        if (!m->up || m->returning) continue;
-        if (now - m->last_report <= limit)
-            ++reporting;
-        else
+        if (m->returning || (!m->up && m->entries.empty())) continue;
+        ++known;
+        auto since = now - heard(*m);
+        auto overdue = cluster_.runs_service(*m) ? secs(std::max(1.2, 0.45 * rules.report_s))
+                                                 : secs(1.25 * rules.report_s + 0.7);
+        if (since <= overdue) continue;
+        if (m->missed >= 2) {
             ++quiet;
-    }
-    for (auto& [name, m] : cluster_.machines()) {
-        if (!m->up || m->returning || now - m->last_report <= limit) continue;
-        if (!m->suspect) {
-            spdlog::info("machine {} has been silent for {:.1f} s", name,
-                         Seconds(now - m->last_report).count());
+            if (!m->suspect)
+                spdlog::info("machine {} has been silent for {:.1f} s", name, Seconds(since).count());
             m->suspect = true;
-            m->probed = now;
-            spawn("probe " + name, probe(name));
-        } else if (now - m->last_report > limit + 1500ms && reporting >= quiet) {
             out.push_back(name);
-        } else if (now - m->probed > 1500ms) {
-            m->probed = now;
+        } else if (!m->probing && !m->address.empty()) {
+            m->probing = true;
             spawn("probe " + name, probe(name));
         }
     }
+    // When much of the fleet falls silent at once, the trouble is more likely on our side, or a cut that
+    // passes: then machines are given up only when little is left of their leases.
+    if (quiet >= 4 && quiet * 3 > known)
+        std::erase_if(out, [&](const std::string& name) {
+            return now - heard(*cluster_.find_machine(name)) < secs(0.6 * rules.lease_s) || quiet * 2 > known;
+        });
     return out;
 }
 
@@ -471,8 +481,9 @@
             if (!m->up && !m->address.empty() && now - m->probed > 2s && m->entries.size() > 0) {
                 m->probed = now;
                 spawn("fence " + name, push(name, true));
-            } else if (m->up && !m->push_ok && !m->suspect && now - m->probed > 3s) {
+            } else if (m->up && !m->push_ok && !m->probing && now - m->probed > 3s) {
                 m->probed = now;
+                m->probing = true;
                 spawn("probe " + name, probe(name));
             }
         }
--- a/src/fleet/machine.cpp
+++ b/src/fleet/machine.cpp
@@ -70,6 +70,7 @@
     token_seen = std::max(token_seen, report.token);
     last_report = now;
     suspect = false;
+    missed = 0;
     if (!report.address.empty()) address = report.address;
     if (!report.notice_s) {
         taken_at.reset();
--- a/src/fleet/machine.hpp
+++ b/src/fleet/machine.hpp
@@ -60,7 +60,8 @@
     bool drain = false;      // to be emptied and returned
     bool suspect = false;    // silent, to be proven empty
     bool push_ok = true;     // its address answers us
-    bool pushing = false;
+    bool pushing = false, probing = false;
+    int missed = 0;  // questions in a row that it did not answer
     int errors = 0, successes = 0;
     double slowness = 1.0;
     wire::Resources capacity;
--- a/src/placement/cluster.cpp
+++ b/src/placement/cluster.cpp
@@ -355,6 +355,15 @@
     touch(m.name);
 }
 
+bool Cluster::runs_service(const Machine& m) const {
+    for (auto& [a, e] : m.entries) {
+        if (e.exited()) continue;
+        auto it = jobs_.find(a.task.job);
+        if (it != jobs_.end() && it->second->spec.sort == Sort::service) return true;
+    }
+    return false;
+}
+
 void Cluster::stop_gang(Job& job, double grace, TimePoint now, const char* why) {
     for (auto& [index, list] : job.places)
         for (auto& [name, number] : list)
--- a/src/placement/cluster.hpp
+++ b/src/placement/cluster.hpp
@@ -144,6 +144,7 @@
         return std::exchange(touched_, {});
     }  // machines with something to send
     wire::Resources preemptible(const Machine& m, wire::Priority level) const;
+    bool runs_service(const Machine& m) const;
     void touch(const std::string& machine) { touched_.insert(machine); }
 
   private:
