Arrays count on machines that free up in time before new ones are rented

Excluded: idle patience (a longer one cost more). Change: supply of the fleet until the aim, less committed work and what stands ahead, is compared first; not where time is short.

--- a/src/fleet/renting.cpp
+++ b/src/fleet/renting.cpp
@@ -31,6 +31,9 @@
     bool spot = false, fresh = false;
     wire::Resources room, soft;  // soft: room that lower work would yield
     bool used = false;
+    double array_cpus = 0;  // CPUs that arrays have or can get
+    double committed = 0;   // CPU seconds that running tasks of arrays still need
+    double ready_s = 0;
 };
 
 // Time within which the job's tasks should all have been started, from now.
@@ -70,6 +73,16 @@
         for (auto& [a, e] : m->entries)
             if (e.stop && !e.exited()) b.room += e.need;
         b.soft = cluster.preemptible(*m, wire::Priority::production);
+        b.array_cpus = std::max(0.0, b.room.cpus);
+        if (!m->up) b.ready_s = std::max(2.0, boot_s(cluster, *m) - Seconds(now - m->rented).count());
+        for (auto& [a, e] : m->entries) {
+            if (e.exited() || e.stop) continue;
+            auto job = cluster.jobs().find(a.task.job);
+            if (job == cluster.jobs().end() || job->second->spec.sort != Sort::array) continue;
+            double ran = e.running == TimePoint{} ? 0 : Seconds(now - e.running).count();
+            b.array_cpus += e.need.cpus;
+            b.committed += e.need.cpus * std::max(2.0, job->second->run_guess() - ran);
+        }
         bins.push_back(std::move(b));
     }
     auto suits = [&](const wire::JobSpec& s, const std::string& type, const std::string& zone, bool spot) {
@@ -149,11 +162,14 @@
                             {},
                             true});
             bins.back().room -= s.need;
+            bins.back().array_cpus = type->cpus;
+            bins.back().ready_s = type->boot_s;
             in_zone[pick.zone]++;
             orders[pick]++;
             --budget;
         }
     };
+    std::vector<std::pair<bool, double>> ahead;  // work of arrays that come first: spot or not, CPU seconds
     wire::JobSpec headroom;
     std::uint32_t headroom_tasks = 0;
     for (int level = 0; level < wire::priority_levels; ++level)
@@ -166,11 +182,31 @@
             if (job.spec.sort == Sort::array) {
                 // Tasks that run one after the other on the same slot need fewer slots.
                 double run = job.run_guess() + 1;
-                double left = std::max(run, time_left(job, cluster.rules(), now));
+                double time = time_left(job, cluster.rules(), now);
+                double left = std::max(run, time);
                 double total = static_cast<double>(n) + static_cast<double>(job.places.size());
                 auto slots = static_cast<std::uint32_t>(std::ceil(total * run / (left + run)));
                 auto running = static_cast<std::uint32_t>(job.places.size());
+                double work = static_cast<double>(n) * run * job.spec.need.cpus;
                 n = std::min(n, slots > running ? slots - running : 0);
+                // What the fleet will have done by then anyway, with all that comes first, needs no renting.
+                // Not relied on when time runs short: work is lumpy, and low levels wait for all others.
+                double elapsed = Seconds(now - job.accepted).count();
+                double boot = 0;
+                for (auto& [name, t] : cluster.types()) boot = std::max(boot, t.gpus > 0 ? 0 : t.boot_s);
+                // Nor where a late decision leaves no time to boot and run.
+                if (job.spec.need.cpus > 0 && time > elapsed && left + run > 1.8 * (boot + run)) {
+                    double by = left + run, supply = 0, before = 0;
+                    for (auto& b : bins) {
+                        if (!suits(job.spec, b.type, b.zone, b.spot)) continue;
+                        supply += b.array_cpus * std::max(0.0, by - b.ready_s);
+                        before += b.committed;
+                    }
+                    for (auto& [spot_ok, w] : ahead)
+                        if (job.spec.spot_ok || !spot_ok) before += w;
+                    if (0.8 * supply >= before + work) n = 0;
+                }
+                ahead.emplace_back(job.spec.spot_ok, work);
             }
             cover(&job, job.spec, n, job.spec.priority == wire::Priority::production);
         }
