Machines that run only replicas are emptied when these have room elsewhere

Excluded: idle machines (returned within 12 s already). Change: a machine with nothing but settled replicas is drained if each has room and its image on another machine of its zone, and the room kept for new services stays.

--- a/src/api/leader.cpp
+++ b/src/api/leader.cpp
@@ -592,6 +592,10 @@
             spdlog::info("{} idle machines are returned, {} first", idle.size(), idle.front());
             spawn("return idle", give_back(idle, false));
         }
+        if (auto* m = cluster_.find_machine(plan.empty)) {
+            spdlog::info("machine {} is emptied: its {} replicas have room elsewhere", m->name, m->live());
+            m->drain = true;
+        }
         for (auto& order : plan.rent) {
             std::string request = "r-" + std::to_string(cluster_.token()) + "-" + std::to_string(++hires_);
             state::HireRecord hire{order.offer.type, order.offer.zone, order.offer.spot, order.count};
--- a/src/fleet/renting.cpp
+++ b/src/fleet/renting.cpp
@@ -61,6 +61,56 @@
 
 }  // namespace
 
+// Replicas outlast the bustle that spread them out. A machine that runs nothing else is emptied if all of
+// them find room, and their image, on other machines of their zone; the room kept for new services stays.
+std::string Renting::to_empty(const Cluster& cluster, TimePoint now, std::uint32_t keep_free) const {
+    const Machine* best = nullptr;
+    for (auto& [name, candidate] : cluster.machines()) {
+        const Machine& m = *candidate;
+        if (!cluster.usable(m, now) || m.live() == 0 || m.live() > 16 || now - m.rented < secs(90)) continue;
+        if (best && m.live() >= best->live()) continue;
+        std::map<std::string, wire::Resources> room;
+        for (auto& [other, o] : cluster.machines())
+            if (other != name && cluster.usable(*o, now) && o->live() > 0) room[other] = o->room();
+        bool fits = true;
+        wire::Resources need;
+        for (auto& [a, e] : m.entries) {
+            if (e.exited()) continue;
+            auto job = cluster.jobs().find(a.task.job);
+            // A start counts for its aim only if the task is left alone for a while.
+            bool settled = e.phase == Phase::seen && e.state == wire::TaskState::running && !e.stop &&
+                           now - e.running > secs(60);
+            if (job == cluster.jobs().end() || job->second->spec.sort != Sort::service || !settled) {
+                fits = false;
+                break;
+            }
+            const auto& spec = job->second->spec;
+            need = spec.need;
+            auto target = std::find_if(room.begin(), room.end(), [&](auto& r) {
+                const Machine& o = *cluster.machines().at(r.first);
+                return o.zone == m.zone && cluster.allowed(spec, o) && o.has_image(spec.image) &&
+                       spec.need.fits(r.second);
+            });
+            if (target == room.end()) {
+                fits = false;
+                break;
+            }
+            target->second -= spec.need;
+        }
+        std::uint32_t left = 0;
+        for (auto& [other, r] : room) {
+            auto free = r;
+            free += cluster.preemptible(*cluster.machines().at(other), wire::Priority::production);
+            while (left < keep_free && need.cpus > 0 && need.fits(free)) {
+                free -= need;
+                ++left;
+            }
+        }
+        if (fits && left >= keep_free) best = &m;
+    }
+    return best ? best->name : std::string();
+}
+
 RentPlan Renting::plan(const Cluster& cluster, TimePoint now) {
     RentPlan out;
     if (cluster.types().empty()) return out;
@@ -237,6 +287,8 @@
         if (now - m.idle_since > secs(cluster.rules().idle_return_s) && now - m.rented > secs(55))
             out.give_back.push_back(b.name);
     }
+    if (out.rent.empty() && out.give_back.empty() && cluster.queue().waiting() == 0)
+        out.empty = to_empty(cluster, now, headroom_tasks);
     for (auto& [name, m] : cluster.machines()) {
         if (m->returning) continue;
         bool never = !m->up && m->entries.empty() &&
--- a/src/fleet/renting.hpp
+++ b/src/fleet/renting.hpp
@@ -22,6 +22,7 @@
 struct RentPlan {
     std::vector<Order> rent;
     std::vector<std::string> give_back;
+    std::string empty;  // a machine whose replicas have room elsewhere
 };
 
 class Renting {
@@ -33,6 +34,7 @@
     void note_arrival(const wire::JobSpec& spec, TimePoint now);
 
   private:
+    std::string to_empty(const placement::Cluster& cluster, TimePoint now, std::uint32_t keep_free) const;
     struct Refusal {
         TimePoint until{};
         int row = 0;
--- a/tests/renting_test.cpp
+++ b/tests/renting_test.cpp
@@ -70,3 +70,48 @@
     EXPECT_TRUE(r.plan(*f.cluster, f.now + 30s).give_back.empty());
     EXPECT_EQ(r.plan(*f.cluster, f.now + 200s).give_back, std::vector<std::string>{"n-1"});
 }
+
+namespace {
+// Two machines with a replica each, long settled.
+void two_half_empty(Fleet& f) {
+    for (auto name : {"n-1", "n-2"}) {
+        auto s = f.spec(name == std::string("n-1") ? "wk-1" : "wk-2");
+        s.sort = wire::Sort::service;
+        f.add(s);
+        f.up(name).use_image("img", 1);
+        f.place_all();
+        f.run(name);
+        f.machine(name).drain = true;  // so that the other gets the second
+    }
+    f.now += 200s;
+    for (auto name : {"n-1", "n-2"}) {
+        f.machine(name).drain = false;
+        std::vector<TaskStatus> tasks;
+        for (auto& a : f.on(name)) tasks.push_back({a, TaskState::running, Cause::none, false});
+        f.cluster->on_report(f.report(name, tasks), true, f.now);
+    }
+}
+}  // namespace
+
+// Replicas outlast the bustle that spread them out: half-empty machines cost money for nothing.
+TEST(Renting, AMachineWhoseReplicasHaveRoomElsewhereIsEmptied) {
+    placement::Rules rules;
+    rules.teams["crew"] = {};
+    rules.headroom_min = rules.headroom_max = 0;
+    Fleet f(rules);
+    two_half_empty(f);
+    Renting r;
+    EXPECT_FALSE(r.plan(*f.cluster, f.now).empty.empty());
+    f.machine("n-1").images.clear();
+    f.machine("n-2").images.clear();
+    EXPECT_TRUE(r.plan(*f.cluster, f.now).empty.empty()) << "a fetch would be an outage";
+}
+
+TEST(Renting, RoomKeptForNewServicesIsNotGivenUp) {
+    placement::Rules rules;
+    rules.teams["crew"] = {};
+    rules.headroom_min = rules.headroom_max = 3;
+    Fleet f(rules);
+    two_half_empty(f);
+    EXPECT_TRUE(Renting().plan(*f.cluster, f.now).empty.empty());
+}
