A leader that is cut off gives no machine up; replicas do not wait for saving

Excluded: the new leader's own judgement. Change: machines are given up only while the fleet and the state service are heard; a preempted task saves first only if the replica has the time.

--- a/src/api/leader.cpp
+++ b/src/api/leader.cpp
@@ -426,6 +426,12 @@
     restamping_ = false;
 }
 
+std::size_t Leader::recent(TimePoint now, Clock::duration window) const {
+    std::size_t n = 0;
+    for (auto& [name, m] : cluster_.machines()) n += m->up && now - m->last_report <= window;
+    return n;
+}
+
 std::vector<std::string> Leader::silent(TimePoint now) {
     // A machine that neither reports nor answers is proven empty quickest by returning it. It is asked before
     // its report is long overdue, sooner if users depend on what it runs, and is given up after two
@@ -460,6 +466,14 @@
         std::erase_if(out, [&](const std::string& name) {
             return now - heard(*cluster_.find_machine(name)) < secs(0.6 * rules.lease_s) || quiet * 2 > known;
         });
+    // A leader that is itself cut off must not send returns: they may be held, and executed minutes later. So
+    // the rest of the fleet and the state service must have been heard just now.
+    if (!out.empty()) {
+        auto window = secs(std::max(1.2, 0.5 * rules.report_s));
+        if (!fleet::hears_the_fleet(recent(now, window), known - quiet) ||
+            now - services_.state.last_ok() > 1500ms)
+            out.clear();
+    }
     return out;
 }
 
--- a/src/api/leader.hpp
+++ b/src/api/leader.hpp
@@ -69,6 +69,7 @@
     void send_touched();
     void add(const state::JobRecord& record);
     std::vector<std::string> silent(TimePoint now);
+    std::size_t recent(TimePoint now, Clock::duration window) const;  // machines heard within it
 
     Services services_;
     placement::Cluster cluster_;
--- a/src/fleet/machine.hpp
+++ b/src/fleet/machine.hpp
@@ -42,6 +42,11 @@
     bool exited() const { return phase == Phase::seen && state == wire::TaskState::exited; }
 };
 
+// Whether a silence is the machine's rather than ours: enough of the others were heard just now.
+inline bool hears_the_fleet(std::size_t heard_just_now, std::size_t others) {
+    return others == 0 ? false : heard_just_now * 10 >= others * 3;
+}
+
 struct Change {
     enum Kind { adopted, started, ended, vanished } kind;
     wire::Attempt attempt;
--- a/src/placement/cluster.cpp
+++ b/src/placement/cluster.cpp
@@ -671,7 +671,10 @@
                  best.victims.size());
     for (auto& a : best.victims) {
         Job* other = find_job(a.task.job);
-        note_stop(*best.machine, a, best.machine->entries.at(a), other ? grace_for(*other) : 0, now,
+        // Saving comes first unless users would wait for it: a replica is late, or would be.
+        bool hurry =
+            job.spec.sort == Sort::service && other && start_slack(job, now) < other->spec.save_s + 1;
+        note_stop(*best.machine, a, best.machine->entries.at(a), other && !hurry ? grace_for(*other) : 0, now,
                   "preempted");
     }
     reserved_[best.machine->name] += job.spec.need;
--- a/tests/cluster_test.cpp
+++ b/tests/cluster_test.cpp
@@ -356,3 +356,29 @@
     f.place_all();
     EXPECT_EQ(f.on("n-2").size(), 1u);
 }
+
+// Saving takes longer than a replica may be away: the victim is not given the time.
+TEST(Preemption, VictimsSaveOnlyIfNoReplicaWaitsForIt) {
+    for (double aim : {1.0, 60.0}) {
+        placement::Rules rules;
+        rules.teams["crew"] = {};
+        rules.objectives = {{"wait", "web", aim, 1}};
+        Fleet f(rules);
+        f.up("n-1");
+        auto batch = f.spec("wk-1", 1, 4);
+        batch.checkpoint_s = 15;
+        batch.save_s = 5;
+        f.add(batch);
+        f.place_all();
+        f.run("n-1");
+        auto s = f.spec("wk-2");
+        s.job_class = "web";
+        s.sort = Sort::service;
+        s.priority = Priority::production;
+        f.add(s);
+        f.place_all();
+        auto kills = f.cluster->push_commands(f.machine("n-1"), f.now);
+        ASSERT_EQ(kills.size(), 1u);
+        EXPECT_EQ(kills[0].grace_s >= 5, aim > 10) << aim;
+    }
+}
--- a/tests/machine_test.cpp
+++ b/tests/machine_test.cpp
@@ -115,3 +115,12 @@
     EXPECT_FALSE(m.has_image("b"));
     EXPECT_TRUE(m.has_image("a") && m.has_image("c") && m.has_image("d"));
 }
+
+// Guards against a leader that is cut off: its returns were held and executed 40 s later, on machines in use.
+TEST(Silence, IsTheMachinesOwnOnlyIfTheFleetIsHeard) {
+    EXPECT_TRUE(fleet::hears_the_fleet(10, 20));
+    EXPECT_TRUE(fleet::hears_the_fleet(6, 20));
+    EXPECT_FALSE(fleet::hears_the_fleet(5, 20));
+    EXPECT_FALSE(fleet::hears_the_fleet(0, 3));
+    EXPECT_FALSE(fleet::hears_the_fleet(0, 0));
+}
