Shape keys of jobs are made once, not in every round

Cause: a round formatted a key for each waiting job; with thousands of jobs that is processor time per report.

--- a/src/placement/cluster.cpp
+++ b/src/placement/cluster.cpp
@@ -39,6 +39,11 @@
     Job& job = *it->second;
     job.spec = record.spec;
     job.accepted_ms = record.accepted_ms;
+    const auto& s = job.spec;
+    job.shape = fmt::format("{:.3f}/{:.3f}/{:.3f}/{}/{}", s.need.cpus, s.need.gpus, s.need.mem_gb, s.spot_ok,
+                            s.zone.value_or(""));
+    if (s.types)
+        for (auto& t : *s.types) job.shape += "/" + t;
     job.accepted = now - std::chrono::milliseconds(
                              std::clamp<std::int64_t>(wall_ms - record.accepted_ms, 0, 86'400'000));
     if (progress) {
@@ -710,10 +715,7 @@
             Job* job = find_job(id);
             if (!job || job->cancelled || now < job->retry_at) continue;
             const auto& s = job->spec;
-            std::string shape = fmt::format("{:.3f}/{:.3f}/{:.3f}/{}/{}", s.need.cpus, s.need.gpus,
-                                            s.need.mem_gb, s.spot_ok, s.zone.value_or(""));
-            if (s.types)
-                for (auto& t : *s.types) shape += "/" + t;
+            const std::string& shape = job->shape;
             if (misfits.contains(shape) && s.priority > Priority::high) continue;
             if (s.sort == Sort::gang) {
                 if (place_gang(*job, now)) {
--- a/src/placement/cluster.hpp
+++ b/src/placement/cluster.hpp
@@ -46,6 +46,7 @@
 struct Job {
     wire::JobSpec spec;
     std::int64_t accepted_ms = 0;
+    std::string shape;  // what it needs of a machine, as a key: like jobs fit alike
     TimePoint accepted{};
     IndexSet waiting, done, durable_done;
     bool cancelled = false, cancel_durable = false, past = false;
