Dead state and a repeated loop removed; behaviour as before

Fields that were written and never read (or never set) are gone, a parameter that was always empty too, and dropping unsent starts is one member called by both senders.

--- a/src/fleet/machine.cpp
+++ b/src/fleet/machine.cpp
@@ -63,7 +63,6 @@
         images.clear();
         fetching_.clear();
     }
-    if (!up) up_since = now;
     up = true;
     session = report.session;
     seq = report.seq;
--- a/src/fleet/machine.hpp
+++ b/src/fleet/machine.hpp
@@ -60,7 +60,7 @@
     std::uint64_t session = 0, seq = 0, token_seen = 0;
     bool up = false;                    // its worker has reported to us
     std::optional<TimePoint> taken_at;  // spot notice: when the cloud takes it, as nominally announced
-    TimePoint known{}, rented{}, last_report{}, last_answer{}, idle_since{}, up_since{}, probed{};
+    TimePoint known{}, rented{}, last_report{}, last_answer{}, idle_since{}, probed{};
     bool returning = false;  // a return request is out, or will be
     bool drain = false;      // to be emptied and returned
     bool suspect = false;    // silent, to be proven empty
@@ -73,7 +73,6 @@
     double cache_gb = 0, fetch_gb_per_s = 0.1;
     std::unordered_map<wire::Attempt, Entry, wire::AttemptHash> entries;
     std::list<std::pair<std::string, double>> images;  // most recently used first, as far as we can tell
-    std::vector<wire::Attempt> recorded;               // what the durable record names
 
     wire::Resources room() const;  // capacity less all that may be there
     bool has_image(const std::string& image) const;
--- a/src/placement/cluster.cpp
+++ b/src/placement/cluster.cpp
@@ -118,10 +118,9 @@
     if ((job.cancelled || job.finished()) && job.places.empty()) mark_dirty(job);
 }
 
-void Cluster::finish_task(Job& job, std::uint32_t index, TimePoint now) {
+void Cluster::finish_task(Job& job, std::uint32_t index) {
     if (!job.done.insert(index)) return;
     set_waiting(job, index, false);
-    job.last_done = now;
     mark_dirty(job);
 }
 
@@ -158,7 +157,6 @@
     if (record.rented_ms)
         m.rented = now - std::chrono::milliseconds(
                              std::clamp<std::int64_t>(wall_ms - record.rented_ms, 0, 86'400'000));
-    m.recorded = record.attempts;
     for (auto& a : record.attempts) {
         Entry e;
         e.phase = Phase::inherited;
@@ -285,9 +283,9 @@
                 job->runs++;
             }
             if (job->spec.sort == Sort::gang) {
-                for (std::uint32_t i = 0; i < job->spec.tasks; ++i) finish_task(*job, i, now);
+                for (std::uint32_t i = 0; i < job->spec.tasks; ++i) finish_task(*job, i);
             } else {
-                finish_task(*job, a.task.index, now);
+                finish_task(*job, a.task.index);
             }
             break;
         case Cause::error:
@@ -386,23 +384,19 @@
 }
 
 // Entries whose start was never sent can simply be dropped when they are to be stopped.
-static void drop_unsent(Machine& m, std::vector<Attempt>& dropped) {
-    for (auto it = m.entries.begin(); it != m.entries.end();) {
-        if (it->second.stop && !it->second.late && !it->second.in_flight &&
-            (it->second.phase == Phase::recording || it->second.phase == Phase::ready)) {
-            dropped.push_back(it->first);
-            it = m.entries.erase(it);
-        } else {
-            ++it;
-        }
+void Cluster::drop_unsent(Machine& m) {
+    std::vector<Attempt> dropped;
+    for (auto& [a, e] : m.entries)
+        if (e.stop && !e.late && !e.in_flight && (e.phase == Phase::recording || e.phase == Phase::ready))
+            dropped.push_back(a);
+    for (auto& a : dropped) {
+        m.entries.erase(a);
+        if (Job* job = find_job(a.task.job)) unplace(*job, a.task.index, m.name, a.number);
     }
 }
 
 std::vector<wire::Command> Cluster::reply_commands(Machine& m, TimePoint now) {
-    std::vector<Attempt> dropped;
-    drop_unsent(m, dropped);
-    for (auto& a : dropped)
-        if (Job* job = find_job(a.task.job)) unplace(*job, a.task.index, m.name, a.number);
+    drop_unsent(m);
     // Launches go by push where the address answers; a response carries them where it does not.
     auto out = m.commands(now, !m.push_ok, [this](auto& a, auto& e) { return may_reap(a, e); });
     for (auto& c : out)
@@ -415,10 +409,7 @@
 }
 
 std::vector<wire::Command> Cluster::push_commands(Machine& m, TimePoint now) {
-    std::vector<Attempt> dropped;
-    drop_unsent(m, dropped);
-    for (auto& a : dropped)
-        if (Job* job = find_job(a.task.job)) unplace(*job, a.task.index, m.name, a.number);
+    drop_unsent(m);
     auto out = m.commands(now, true, [this](auto& a, auto& e) { return may_reap(a, e); });
     // A response is at most 64 KiB, and so is a report.
     if (out.size() > 300) out.resize(300);
@@ -518,14 +509,13 @@
     return true;
 }
 
-Machine* Cluster::choose(const Job& job, TimePoint now, const std::map<std::string, wire::Resources>& taken) {
+Machine* Cluster::choose(const Job& job, TimePoint now) {
     Machine* best = nullptr;
     double best_score = 0;
     for (auto& [name, mp] : machines_) {
         Machine& m = *mp;
         if (!usable(m, now) || !allowed(job.spec, m)) continue;
         wire::Resources room = m.room();
-        if (auto t = taken.find(name); t != taken.end()) room -= t->second;
         if (auto r = reserved_.find(name); r != reserved_.end()) room -= r->second;
         if (!job.spec.need.fits(room)) continue;
         if (!zone_ok(job, m.zone)) continue;
@@ -603,7 +593,6 @@
         if (where.size() != job.spec.tasks) continue;
         std::uint64_t attempt = next_attempt();
         for (std::uint32_t i = 0; i < job.spec.tasks; ++i) place(job, i, *where[i], attempt, now);
-        job.gang_started = now;
         spdlog::info("gang {} starts as attempt {} on {} machines", job.spec.id, attempt, taken.size());
         return true;
     }
@@ -706,7 +695,6 @@
     // Shapes that fitted nowhere in this round need not be tried again: room only shrinks during a round. So
     // a long queue of like tasks costs one look, not a walk over all machines for each.
     std::set<std::string> misfits;
-    const std::map<std::string, wire::Resources> none;
     for (int level = 0; level < wire::priority_levels; ++level) {
         std::vector<std::string> order;
         for (auto& p : queue_.level(level)) order.push_back(p.id);
@@ -731,7 +719,7 @@
             while (auto next = job->waiting.next(cursor)) {
                 if (placed >= 400 || !team_has_room(*job, 1)) break;
                 std::uint32_t index = *next;
-                Machine* m = misfits.contains(shape) ? nullptr : choose(*job, now, none);
+                Machine* m = misfits.contains(shape) ? nullptr : choose(*job, now);
                 // The worker refuses a second attempt of a task that it still lists.
                 if (m && m->holds_task({id, index})) {
                     touch(m->name);
@@ -852,7 +840,7 @@
         std::string id = *dirty_jobs_.begin();
         dirty_jobs_.erase(dirty_jobs_.begin());
         Job* job = find_job(id);
-        if (!job || job->past) continue;
+        if (!job) continue;
         job->dirty = false;
         bool over = job->cancelled ? (job->cancel_durable && job->places.empty()) : job->finished();
         if (over) {
--- a/src/placement/cluster.hpp
+++ b/src/placement/cluster.hpp
@@ -49,18 +49,15 @@
     std::string shape;  // what it needs of a machine, as a key: like jobs fit alike
     TimePoint accepted{};
     IndexSet waiting, done, durable_done;
-    bool cancelled = false, cancel_durable = false, past = false;
+    bool cancelled = false, cancel_durable = false;
     bool dirty = false, progress_written = false;
     // Every machine that may hold an attempt of a task. A task is started only while it has none.
     std::unordered_map<std::uint32_t, std::vector<std::pair<std::string, std::uint64_t>>> places;
     TimePoint retry_at{};
     int errors_in_row = 0;
     std::set<std::string> failed_on;
-    double run_seen = 0;  // longest and mean run of its finished tasks
-    double run_sum = 0;
+    double run_sum = 0;  // of its finished tasks
     int runs = 0;
-    TimePoint gang_started{};
-    TimePoint last_done{};
 
     bool finished() const { return done.size() == spec.tasks; }
     wire::Standing standing() const;
@@ -153,9 +150,10 @@
     void ended(Machine& m, const Attempt& a, const Entry& e, TimePoint now);
     void unplace(Job& job, std::uint32_t index, const std::string& machine, std::uint64_t attempt);
     void set_waiting(Job& job, std::uint32_t index, bool waiting);
-    void finish_task(Job& job, std::uint32_t index, TimePoint now);
+    void finish_task(Job& job, std::uint32_t index);
     void mark_dirty(Job& job);
-    Machine* choose(const Job& job, TimePoint now, const std::map<std::string, wire::Resources>& taken);
+    Machine* choose(const Job& job, TimePoint now);
+    void drop_unsent(Machine& m);
     void place(Job& job, std::uint32_t index, Machine& m, std::uint64_t attempt, TimePoint now);
     bool place_gang(Job& job, TimePoint now);
     enum class Room { none, coming, made };
