Followers of an old leader key no longer ask the state service without end

Now the key is listed, which tells the revision to watch from. Excluded: polls of users (answered from the leader's memory), the write loop (15,000 changes, 9,000 transactions). Test: Election.AFollowerOfAnOldLeaderKeyDoesNotAskWithoutEnd.

--- a/src/election/election.cpp
+++ b/src/election/election.cpp
@@ -2,6 +2,8 @@
 
 #include <spdlog/spdlog.h>
 
+#include <algorithm>
+
 namespace barrowrun::election {
 using net::http::verb;
 using state::Outcome;
@@ -45,8 +47,16 @@
 
 Task<> Election::follow() {
     auto sent = Clock::now();
-    auto current = co_await state_.get(state::leader_key, 1000ms);
-    if (current.outcome == Outcome::absent) {
+    // Listed rather than read: a listing tells the service's revision. A watch from the key's own version is refused
+    // once 10,000 changes have passed since, and would be asked again at once for as long as that leader leads.
+    auto listed = co_await state_.list(state::leader_key);
+    if (!listed.ok) {
+        co_await net::sleep_for(200ms);
+        co_return;
+    }
+    auto current = std::find_if(listed.items.begin(), listed.items.end(),
+                                [](const state::Item& item) { return item.key == state::leader_key; });
+    if (current == listed.items.end()) {
         leader_name_.clear();
         if (!abstention_.free(Clock::now())) {
             co_await net::sleep_for(std::min<Clock::duration>(abstention_.until() - Clock::now(), 500ms));
@@ -55,7 +65,7 @@
         co_await campaign();
         co_return;
     }
-    auto record = current.outcome == Outcome::ok ? state::parse_leader(current.value) : std::nullopt;
+    auto record = state::parse_leader(current->value);
     if (!record) {
         co_await net::sleep_for(200ms);
         co_return;
@@ -76,16 +86,16 @@
         stamp_ = record->stamp;
         sent = Clock::now();
         if (co_await state_.extend_hold(hold_, 800ms) == Outcome::ok && abstention_.free(Clock::now())) {
-            become_leader(current.version, sent);
+            become_leader(current->version, sent);
         } else {
             co_await net::sleep_for(200ms);
         }
         co_return;
     }
-    if (leader_name_ != record->node) spdlog::info("{} leads with token {}", record->node, current.version);
+    if (leader_name_ != record->node) spdlog::info("{} leads with token {}", record->node, current->version);
     leader_name_ = record->node;
-    auto change = co_await state_.watch(state::leader_key, current.version, 5s);
-    if (!change.ok && !change.too_old) {
+    auto change = co_await state_.watch(state::leader_key, listed.revision, 5s);
+    if (!change.ok) {
         co_await net::sleep_for(200ms);
         co_return;
     }
--- a/tests/peers_test.cpp
+++ b/tests/peers_test.cpp
@@ -3,6 +3,7 @@
 
 #include <functional>
 
+#include "election/election.hpp"
 #include "fleet/cloud_client.hpp"
 #include "net/http_server.hpp"
 #include "state/state_client.hpp"
@@ -18,6 +19,7 @@
 struct Scripted {
     net::asio::io_context io;
     tcp::acceptor acceptor{io, tcp::endpoint(net::asio::ip::make_address("127.0.0.1"), 0)};
+    std::function<void(const std::string& target)> asked;  // sets the reply where it depends on the request
     std::string reply;  // empty: the connection is closed without an answer
     std::string address() const { return "127.0.0.1:" + std::to_string(acceptor.local_endpoint().port()); }
     void answer(int status, const wire::Json& body) {
@@ -33,6 +35,7 @@
                 net::beast::flat_buffer buffer;
                 net::http::request<net::http::string_body> request;
                 co_await net::http::async_read(socket, buffer, request, net::asio::use_awaitable);
+                if (self->asked) self->asked(std::string(request.target()));
                 if (!self->reply.empty())
                     co_await net::asio::async_write(socket, net::asio::buffer(self->reply),
                                                     net::asio::use_awaitable);
@@ -101,6 +104,41 @@
     EXPECT_EQ(look(silent), Outcome::unknown);
 }
 
+// Found on a grown deployment: 10,000 changes after the election, every watch from the leader key's own version was
+// refused as too old, and the followers asked again without a pause: 50 requests a second each.
+TEST(Election, AFollowerOfAnOldLeaderKeyDoesNotAskWithoutEnd) {
+    Scripted service;
+    int requests = 0;
+    bool refused = false;
+    service.asked = [&](const std::string& target) {
+        ++requests;
+        wire::Json record = state::to_json(state::LeaderRecord{"other", "x", 1, 1});
+        if (target.starts_with("/follow")) {
+            auto since = std::stoul(target.substr(target.find("since=") + 6));
+            refused |= since < 20'000;
+            service.reply.clear();  // an open watch: nothing happens
+            if (since < 20'000) service.answer(410, wire::Json::object());
+        } else if (target.starts_with("/kv?")) {
+            service.answer(200, {{"entries", {{{"key", "leader"}, {"value", record}, {"mark", 1}}}},
+                                 {"truncated", false},
+                                 {"ledger", 30'000}});
+        } else {
+            service.answer(200, {{"key", "leader"}, {"value", record}, {"mark", 1}});
+        }
+    };
+    state::StateClient client(service.io, service.address(), 1000, 1000);
+    net::HttpClient peers(service.io);
+    election::Election election(service.io, "me", {}, client, peers, {});
+    service.play<bool>([&]() -> net::Task<bool> {
+        net::asio::co_spawn(service.io, election.run(), net::asio::detached);
+        co_await net::sleep_for(500ms);
+        co_return true;
+    });
+    EXPECT_EQ(election.leader_name(), "other");
+    EXPECT_FALSE(refused);
+    EXPECT_LE(requests, 10);
+}
+
 TEST(CloudClient, ARentalWithoutAnAnswerIsUnknownAndNoCapacityIsFinal) {
     auto rent = [](Scripted& peer) {
         fleet::CloudClient client(peer.io, peer.address(), 10);
