Acceptances no longer stand behind the leader's own writes

The leader's transactions of up to 16 changes wait for a budget of 45 changes a second, and an acceptance waited in the same line. It is now charged to the budget and sent at once; what the leader writes for itself comes after it. Excluded: 429s (with the endless watches gone few are left), processor time. Test: StateClient.AnAcceptanceDoesNotWaitForTheBudgetButIsChargedToIt.

--- a/src/api/node.cpp
+++ b/src/api/node.cpp
@@ -321,7 +321,8 @@
         conditions.push_back({state::past_key(id), 0});
         std::vector<state::Operation> operations;
         operations.push_back({state::job_key(id), state::to_json(record), 0});
-        auto result = co_await state_.txn(conditions, operations, 1200ms);
+        // Not behind the leader's own writes: while the fleet is busy those wait for most of a second.
+        auto result = co_await state_.txn(conditions, operations, 1200ms, state::Pace::ahead);
         if (result.outcome == Outcome::ok) {
             if (auto kept = leader_; leader())
                 kept->accepted_here(record);
--- a/src/election/election.cpp
+++ b/src/election/election.cpp
@@ -115,7 +115,7 @@
     state::LeaderRecord record{node_, incarnation_, hold_, stamp_};
     std::vector<state::Condition> conditions{{state::leader_key, 0}};
     std::vector<state::Operation> operations{{state::leader_key, state::to_json(record), hold_}};
-    auto result = co_await state_.txn(conditions, operations, 1000ms, false);
+    auto result = co_await state_.txn(conditions, operations, 1000ms, state::Pace::free);
     if (result.outcome == Outcome::ok) {
         // The hold began when it was created, which was earlier: extend it before counting on it.
         auto extended = Clock::now();
@@ -239,7 +239,7 @@
     state::LeaderRecord record{node_, incarnation_, hold_, stamp_ + 1};
     std::vector<state::Condition> conditions{{state::leader_key, old}};
     std::vector<state::Operation> operations{{state::leader_key, state::to_json(record), hold_}};
-    auto result = co_await state_.txn(conditions, operations, 1500ms, false);
+    auto result = co_await state_.txn(conditions, operations, 1500ms, state::Pace::free);
     if (!leader_ || token_ != old) co_return false;
     if (result.outcome == Outcome::ok) {
         ++stamp_;
--- a/src/state/state_client.cpp
+++ b/src/state/state_client.cpp
@@ -88,7 +88,7 @@
 }
 
 Task<TxnResult> StateClient::txn(std::vector<Condition> conditions, std::vector<Operation> operations,
-                                 Clock::duration deadline, bool budgeted) {
+                                 Clock::duration deadline, Pace pace) {
     Json conds = Json::array(), ops = Json::array();
     for (auto& c : conditions) conds.push_back({{"key", c.key}, {"mark", c.version}});
     for (auto& o : operations) {
@@ -100,12 +100,13 @@
         if (o.hold) set["permit"] = o.hold;
         ops.push_back(std::move(set));
     }
-    if (budgeted) {
+    if (pace != Pace::free) {
         auto wait = writes_.reserve(Clock::now(), static_cast<double>(operations.size()));
-        if (wait > Clock::duration::zero()) co_await net::sleep_for(wait);
+        if (pace == Pace::ahead) requests_.reserve(Clock::now(), 1);
+        if (pace == Pace::budgeted && wait > Clock::duration::zero()) co_await net::sleep_for(wait);
     }
     Json body{{"if", std::move(conds)}, {"then", std::move(ops)}};
-    auto reply = co_await call(verb::post, "/multi", std::move(body), deadline, budgeted ? 1 : 0);
+    auto reply = co_await call(verb::post, "/multi", std::move(body), deadline, pace == Pace::budgeted ? 1 : 0);
     TxnResult out;
     out.outcome = outcome_of(reply);
     if (out.outcome == Outcome::absent) out.outcome = Outcome::refused;
--- a/src/state/state_client.hpp
+++ b/src/state/state_client.hpp
@@ -53,6 +53,13 @@
     std::uint64_t revision = 0;
 };
 
+// How a transaction stands to the rates that the state service sets.
+enum class Pace {
+    budgeted,  // waits for its turn
+    ahead,     // a user waits for it: charged, so that what follows waits, but sent at once
+    free,      // the leader's hold: the budget leaves room for it
+};
+
 struct Event {
     std::string key;
     std::optional<Json> value;
@@ -71,7 +78,8 @@
     Task<Value> get(std::string key, Clock::duration deadline = std::chrono::milliseconds(1500));
     Task<Listing> list(std::string prefix);
     Task<TxnResult> txn(std::vector<Condition> conditions, std::vector<Operation> operations,
-                        Clock::duration deadline = std::chrono::milliseconds(2000), bool budgeted = true);
+                        Clock::duration deadline = std::chrono::milliseconds(2000),
+                        Pace pace = Pace::budgeted);
     Task<std::optional<std::uint64_t>> create_hold(Clock::duration ttl);
     Task<Outcome> extend_hold(std::uint64_t hold, Clock::duration deadline);
     Task<Outcome> end_hold(std::uint64_t hold);
--- a/tests/peers_test.cpp
+++ b/tests/peers_test.cpp
@@ -88,6 +88,26 @@
     EXPECT_EQ(result.revision, 12u);
 }
 
+// A user's submission must not stand behind the leader's own writes, which wait for seconds while the fleet is busy.
+TEST(StateClient, AnAcceptanceDoesNotWaitForTheBudgetButIsChargedToIt) {
+    Scripted peer;
+    peer.answer(200, {{"ledger", 12}});
+    state::StateClient client(peer.io, peer.address(), 100, 10);
+    auto took = [&](std::size_t writes, state::Pace pace) {
+        peer.io.restart();
+        return peer.play<Clock::duration>([&, writes, pace]() -> net::Task<Clock::duration> {
+            std::vector<state::Operation> operations(writes);
+            auto begun = Clock::now();
+            auto result = co_await client.txn({}, operations, 2s, pace);
+            EXPECT_EQ(result.outcome, Outcome::ok);
+            co_return Clock::now() - begun;
+        });
+    };
+    EXPECT_LT(took(8, state::Pace::ahead), 200ms);  // uses more than the burst
+    EXPECT_LT(took(1, state::Pace::ahead), 200ms);
+    EXPECT_GT(took(1, state::Pace::budgeted), 300ms);
+}
+
 // A 404 makes a job "unknown" to its user: only the service's own word counts.
 TEST(StateClient, AbsenceNeedsTheServicesOwnAnswer) {
     auto look = [](Scripted& peer) {
