Takeover reads its records in one pass; sockets bounded; rentals in few large requests

Cause by reading the takeover: when one of its four reads failed, the next pass kept parts of the pass before, so that it could go on with machines but without their jobs; the jobs then came in by the watch as new, and running tasks were started again. Excluded: leases (counted from the acquisition), late pushes (settled by token or session), the hold. Now all four are read in one pass or the pass is begun again. Tests: StateClient.ASnapshotIsReadInOnePassOrNotAtAll.

Calls to workers are bounded now, idle connections closed for new ones. Test: HttpClient.ConnectionsStayWithinTheirBound.

Renting (measured before the above): orders of one plan were 40 single machines, small requests each took a call of 0.6 s, and a plan waited for all answers. Now as many as needed, the largest first, open ones counted as coming, boot and fetch time counted, requests for an offer just refused dropped unsent.

--- a/src/api/leader.cpp
+++ b/src/api/leader.cpp
@@ -38,15 +38,12 @@
 
 Task<> Leader::load() {
     auto begun = Clock::now();
-    state::Listing jobs, progress, machines, hires;
-    for (;;) {
-        jobs = co_await services_.state.list("jobs/");
-        if (jobs.ok) progress = co_await services_.state.list("progress/");
-        if (progress.ok) machines = co_await services_.state.list("machines/");
-        if (machines.ok) hires = co_await services_.state.list("hires/");
-        if (hires.ok) break;
+    std::optional<state::Snapshot> read;
+    while (!(read = co_await services_.state.snapshot())) {
+        spdlog::warn("the records could not be read, once more");
         co_await net::sleep_for(200ms);
     }
+    const auto& [jobs, progress, machines, hires] = *read;
     watch_from_ = jobs.revision;
     if (services_.catalog.empty()) {
         auto catalog = co_await services_.state.get(state::catalog_key);
@@ -103,7 +100,7 @@
     spawn("cloud types", cloud_types());
     spawn("cloud list", cloud_list());
     spawn("cloud rent", cloud_rent());
-    for (auto& [request, hire] : open_hires_) spawn("rent " + request, rent_one(request, hire));
+    for (auto& [request, hire] : open_hires_) spawn("rent " + request, rent_one(request, hire, false));
 }
 
 // ---- jobs ----------------------------------------------------------------------------------------------
@@ -593,8 +590,12 @@
     co_await net::sleep_for(1500ms);
     for (;;) {
         co_await net::sleep_for(700ms);
-        if (!may_act() || !open_hires_.empty()) continue;
-        auto plan = renting_.plan(cluster_, Clock::now());
+        // Requests that the cloud's rate holds back, or that have no answer, are not heaped up.
+        auto most_open = static_cast<std::size_t>(std::max(2.0, 3 * services_.settings.cloud_rps));
+        if (!may_act() || open_hires_.size() >= most_open) continue;
+        std::vector<fleet::Order> coming;
+        for (auto& [request, h] : open_hires_) coming.push_back({{h.type, h.zone, h.spot}, h.count});
+        auto plan = renting_.plan(cluster_, Clock::now(), coming);
         std::vector<std::string> idle;
         for (auto& name : plan.give_back) {
             auto* m = cluster_.find_machine(name);
@@ -611,6 +612,7 @@
             m->drain = true;
         }
         for (auto& order : plan.rent) {
+            if (open_hires_.size() >= most_open) break;
             std::string request = "r-" + std::to_string(cluster_.token()) + "-" + std::to_string(++hires_);
             state::HireRecord hire{order.offer.type, order.offer.zone, order.offer.spot, order.count};
             open_hires_[request] = hire;
@@ -619,20 +621,26 @@
             auto self = shared_from_this();
             cluster_.enqueue({state::hire_key(request), state::to_json(hire), [self, request, hire] {
                                   if (!self->stopped_)
-                                      self->spawn("rent " + request, self->rent_one(request, hire));
+                                      self->spawn("rent " + request, self->rent_one(request, hire, true));
                               }});
         }
         write_wake_.wake();
     }
 }
 
-Task<> Leader::rent_one(std::string request, state::HireRecord hire) {
+Task<> Leader::rent_one(std::string request, state::HireRecord hire, bool first) {
     fleet::Offer offer{hire.type, hire.zone, hire.spot};
+    bool asked = !first;
     for (;;) {
+        co_await services_.cloud.turn();
         if (!may_act()) {
             co_await net::sleep_for(300ms);
             continue;
         }
+        // Another request has shown meanwhile that there is none: a call that can do more is let through instead.
+        // Only a request that was never sent may be dropped.
+        if (!asked && renting_.refuses(offer, Clock::now())) break;
+        asked = true;
         auto sent = Clock::now();
         auto result = co_await services_.cloud.rent(request, hire.type, hire.zone, hire.spot, hire.count);
         if (result.outcome == fleet::RentOutcome::granted) {
--- a/src/api/leader.hpp
+++ b/src/api/leader.hpp
@@ -58,7 +58,7 @@
     Task<> cloud_types();
     Task<> cloud_list();
     Task<> cloud_rent();
-    Task<> rent_one(std::string request, state::HireRecord hire);
+    Task<> rent_one(std::string request, state::HireRecord hire, bool first);
     Task<> give_back(std::vector<std::string> names, bool proof);
     Task<> push(std::string machine, bool fence);
     Task<> probe(std::string machine);
--- a/src/api/node.cpp
+++ b/src/api/node.cpp
@@ -37,11 +37,11 @@
       settings_(settings),
       state_(io, settings.state, settings.state_rps, settings.state_write_rps),
       cloud_(io, settings.cloud, settings.cloud_rps),
-      workers_(io, 2),
+      workers_(io, 1, static_cast<std::size_t>(settings.max_connections * 0.3)),
       peers_(io, 8),
       election_(io, settings.node, peers_of(settings), state_, peers_,
                 election::Timing{settings.leader_hold, settings.promise}),
-      public_server_(io, static_cast<std::size_t>(settings.max_connections * 0.75)),
+      public_server_(io, static_cast<std::size_t>(settings.max_connections * 0.55)),
       peer_server_(io, static_cast<std::size_t>(settings.max_connections * 0.1)) {
     election_.on_lead = [this](std::uint64_t token, TimePoint acquired) {
         Services services{io_, settings_, state_, cloud_, workers_, peers_, election_, catalog_};
--- a/src/fleet/cloud_client.cpp
+++ b/src/fleet/cloud_client.cpp
@@ -4,10 +4,14 @@
 using net::http::verb;
 using namespace std::chrono_literals;
 
-Task<net::Reply> CloudClient::call(verb method, std::string target, std::optional<wire::Json> body,
-                                   Clock::duration deadline) {
+Task<> CloudClient::turn() {
     auto wait = budget_.reserve(Clock::now(), 1);
     if (wait > Clock::duration::zero()) co_await net::sleep_for(wait);
+}
+
+Task<net::Reply> CloudClient::call(verb method, std::string target, std::optional<wire::Json> body,
+                                   Clock::duration deadline, bool charged) {
+    if (!charged) co_await turn();
     co_return co_await client_.call(address_, method, std::move(target), std::move(body), deadline, 4 << 20);
 }
 
@@ -34,7 +38,7 @@
 Task<RentResult> CloudClient::rent(std::string request, std::string type, std::string zone, bool spot,
                                    int n) {
     auto body = wire::rent_body(request, type, zone, spot, n);
-    auto reply = co_await call(verb::post, "/rentals", std::move(body), 4s);
+    auto reply = co_await call(verb::post, "/rentals", std::move(body), 4s, true);
     RentResult out;
     if (reply.status == 200) {
         auto names = wire::parse_machine_names(reply.body);
--- a/src/fleet/cloud_client.hpp
+++ b/src/fleet/cloud_client.hpp
@@ -20,13 +20,15 @@
         : address_(std::move(address)), client_(io, 6), budget_(rps * 0.85, rps) {}
     Task<std::optional<std::vector<wire::MachineType>>> types();
     Task<std::optional<wire::MachineList>> list();
+    // Waits until the cloud's rate lets the next rental through.
+    Task<> turn();
     Task<RentResult> rent(std::string request, std::string type, std::string zone, bool spot, int n);
     // True once the cloud says that the machines and everything on them are gone.
     Task<bool> give_back(std::vector<std::string> names);
 
   private:
     Task<net::Reply> call(net::http::verb method, std::string target, std::optional<wire::Json> body,
-                          Clock::duration deadline);
+                          Clock::duration deadline, bool charged = false);
     std::string address_;
     net::HttpClient client_;
     net::RateBudget budget_;
--- a/src/fleet/renting.cpp
+++ b/src/fleet/renting.cpp
@@ -16,6 +16,11 @@
     r.until = now + secs(4.0 * r.row);
 }
 
+bool Renting::refuses(const Offer& offer, TimePoint now) const {
+    auto r = refusals_.find(offer);
+    return r != refusals_.end() && now < r->second.until;
+}
+
 void Renting::granted(const Offer& offer) {
     refusals_.erase(offer);
 }
@@ -27,8 +32,8 @@
 namespace {
 
 struct Bin {
-    std::string name, type, zone;
-    bool spot = false, fresh = false;
+    std::string name;       // empty: not rented yet
+    std::size_t offer = 0;  // its sort, as an index
     wire::Resources room, soft;  // soft: room that lower work would yield
     bool used = false;
     double array_cpus = 0;  // CPUs that arrays have or can get
@@ -52,6 +57,7 @@
 }
 
 // Usual boots take up to 1.5 times the nominal time.
+constexpr int most_per_request = 50;  // the cloud's bound
 constexpr double late_boot = 1.7, hopeless_boot = 2.5;
 
 double boot_s(const Cluster& cluster, const Machine& m) {
@@ -111,15 +117,42 @@
     return best ? best->name : std::string();
 }
 
-RentPlan Renting::plan(const Cluster& cluster, TimePoint now) {
+RentPlan Renting::plan(const Cluster& cluster, TimePoint now, const std::vector<Order>& coming) {
     RentPlan out;
     if (cluster.types().empty()) return out;
+    std::vector<Offer> offers;
+    std::map<Offer, std::size_t> offer_index;
+    auto index_of = [&](const Offer& offer) {
+        auto [it, fresh] = offer_index.try_emplace(offer, offers.size());
+        if (fresh) offers.push_back(offer);
+        return it->second;
+    };
+    for (auto& [name, t] : cluster.types())
+        for (auto& zone : t.zones)
+            for (bool spot : {true, false}) index_of({name, zone, spot});
     std::vector<Bin> bins;
+    auto fresh_bin = [&](std::size_t offer) {
+        const auto& t = cluster.types().at(offers[offer].type);
+        Bin b;
+        b.offer = offer;
+        b.room = {t.cpus, t.gpus, t.mem_gb};
+        b.array_cpus = t.cpus;
+        b.ready_s = t.boot_s;
+        return b;
+    };
+    // Machines asked for, without an answer yet.
+    for (auto& order : coming)
+        if (cluster.types().contains(order.offer.type))
+            for (int k = 0; k < order.count; ++k) bins.push_back(fresh_bin(index_of(order.offer)));
     for (auto& [name, m] : cluster.machines()) {
         if (m->returning || m->drain || m->suspect || m->taken_at || m->capacity.mem_gb <= 0) continue;
         // A machine that takes much longer than usual to come up may never do so: it is not counted on.
         if (!m->up && m->entries.empty() && now - m->rented > secs(late_boot * boot_s(cluster, *m))) continue;
-        Bin b{name, m->type, m->zone, m->spot, false, m->room(), {}, m->live() > 0};
+        Bin b;
+        b.name = name;
+        b.offer = index_of({m->type, m->zone, m->spot});
+        b.room = m->room();
+        b.used = m->live() > 0;
         for (auto& [a, e] : m->entries)
             if (e.stop && !e.exited()) b.room += e.need;
         b.soft = cluster.preemptible(*m, wire::Priority::production);
@@ -143,11 +176,14 @@
         return t != cluster.types().end() && !cluster.gpu_reserved(s, t->second);
     };
     std::map<Offer, int> orders;
-    int budget = 40;  // orders in one plan
-    // Puts n tasks of a shape into bins, renting what is missing. `soft` counts room that can be made.
+    std::vector<char> suitable(offers.size());
+    std::vector<std::size_t> fitting;
+    // Puts n tasks of a shape into bins, renting what is missing. `soft` counts room that can be made. A bin that
+    // takes a task only becomes the better choice for the next one, so each is filled in turn: one look at every bin
+    // for a job, not one for each of its tasks.
     auto cover = [&](const Job* job, const wire::JobSpec& s, std::uint32_t n, bool soft) {
         std::map<std::string, std::uint32_t> in_zone;
-        if (job)
+        if (job && (s.spread || s.one_zone))
             for (auto& [index, list] : job->places)
                 for (auto& [name, number] : list) {
                     auto it = cluster.machines().find(name);
@@ -160,66 +196,69 @@
                     if (z != zone && k > 0) return false;
             return true;
         };
-        for (std::uint32_t k = 0; k < n; ++k) {
-            Bin* best = nullptr;
-            for (auto& b : bins) {
-                if (!suits(s, b.type, b.zone, b.spot) || !zone_ok(b.zone)) continue;
-                wire::Resources room = b.room;
-                if (soft) room += b.soft;
-                if (!s.need.fits(room)) continue;
-                auto rank = [&](const Bin& x) {
-                    return std::tuple(!x.used, s.spot_ok && !x.spot, x.room.cpus);
-                };
-                if (!best || rank(b) < rank(*best)) best = &b;
-            }
-            if (best) {
-                best->room -= s.need;
-                best->used = true;
-                in_zone[best->zone]++;
-                continue;
+        for (std::size_t i = 0; i < offers.size(); ++i)
+            suitable[i] = suits(s, offers[i].type, offers[i].zone, offers[i].spot);
+        auto reach = [&](const Bin& b) {
+            wire::Resources room = b.room;
+            if (soft) room += b.soft;
+            return room;
+        };
+        auto fill = [&](Bin& b, std::uint32_t& k) {
+            while (k < n && s.need.fits(reach(b)) && zone_ok(offers[b.offer].zone)) {
+                b.room -= s.need;
+                b.used = true;
+                in_zone[offers[b.offer].zone]++;
+                ++k;
             }
-            if (budget <= 0) return;
+        };
+        fitting.clear();
+        for (std::size_t i = 0; i < bins.size(); ++i)
+            if (suitable[bins[i].offer] && s.need.fits(reach(bins[i]))) fitting.push_back(i);
+        std::sort(fitting.begin(), fitting.end(), [&](std::size_t x, std::size_t y) {
+            auto rank = [&](std::size_t i) {
+                const Bin& b = bins[i];
+                return std::tuple(!b.used, s.spot_ok && !offers[b.offer].spot, b.room.cpus, i);
+            };
+            return rank(x) < rank(y);
+        });
+        std::uint32_t k = 0;
+        for (auto i : fitting) {
+            if (k >= n) return;
+            fill(bins[i], k);
+        }
+        while (k < n) {
             // The cheapest offer for what is still missing.
             const wire::MachineType* type = nullptr;
-            Offer pick;
+            std::size_t pick = 0;
             double pick_cost = 0;
-            for (auto& [name, t] : cluster.types()) {
+            for (std::size_t i = 0; i < offers.size(); ++i) {
+                if (!suitable[i] || !zone_ok(offers[i].zone)) continue;
+                const auto& t = cluster.types().at(offers[i].type);
                 wire::Resources whole{t.cpus, t.gpus, t.mem_gb};
                 if (!s.need.fits(whole)) continue;
+                if (refuses(offers[i], now)) continue;
                 double per = 1e9;
                 if (s.need.cpus > 0) per = std::min(per, std::floor(t.cpus / s.need.cpus + 1e-6));
                 if (s.need.gpus > 0) per = std::min(per, std::floor(t.gpus / s.need.gpus + 1e-6));
                 if (s.need.mem_gb > 0) per = std::min(per, std::floor(t.mem_gb / s.need.mem_gb + 1e-6));
                 double use = std::max(1.0, std::min(per, static_cast<double>(n - k)));
-                for (auto& zone : t.zones)
-                    for (bool spot : {true, false}) {
-                        if (!suits(s, name, zone, spot) || !zone_ok(zone)) continue;
-                        Offer offer{name, zone, spot};
-                        if (auto r = refusals_.find(offer); r != refusals_.end() && now < r->second.until)
-                            continue;
-                        // Larger machines serve others too: part of the unused room counts as useful.
-                        double cost = (spot ? t.spot_price : t.price) / (0.6 * use + 0.4 * per);
-                        if (!type || cost < pick_cost) type = &t, pick = offer, pick_cost = cost;
-                    }
+                // Larger machines serve others too: part of the unused room counts as useful.
+                double cost = (offers[i].spot ? t.spot_price : t.price) / (0.6 * use + 0.4 * per);
+                if (!type || cost < pick_cost) type = &t, pick = i, pick_cost = cost;
             }
             if (!type) return;
-            bins.push_back({"",
-                            pick.type,
-                            pick.zone,
-                            pick.spot,
-                            true,
-                            {type->cpus, type->gpus, type->mem_gb},
-                            {},
-                            true});
-            bins.back().room -= s.need;
-            bins.back().array_cpus = type->cpus;
-            bins.back().ready_s = type->boot_s;
-            in_zone[pick.zone]++;
-            orders[pick]++;
-            --budget;
+            bins.push_back(fresh_bin(pick));
+            fill(bins.back(), k);
+            orders[offers[pick]]++;
         }
     };
     std::vector<std::pair<bool, double>> ahead;  // work of arrays that come first: spot or not, CPU seconds
+    double usual_boot = 0, usual_fetch = 10;
+    for (auto& [name, t] : cluster.types()) {
+        if (t.gpus > 0) continue;
+        usual_boot = std::max(usual_boot, t.boot_s);
+        usual_fetch = std::min(usual_fetch, t.fetch_gb_per_s);
+    }
     wire::JobSpec headroom;
     std::uint32_t headroom_tasks = 0;
     for (int level = 0; level < wire::priority_levels; ++level)
@@ -235,20 +274,22 @@
                 double time = time_left(job, cluster.rules(), now);
                 double left = std::max(run, time);
                 double total = static_cast<double>(n) + static_cast<double>(job.places.size());
-                auto slots = static_cast<std::uint32_t>(std::ceil(total * run / (left + run)));
+                // A machine rented for it now serves nothing while it boots and fetches the image.
+                double ready = usual_boot + job.spec.image_gb / usual_fetch;
+                double span = std::max(run, left + run - ready);
+                auto slots = static_cast<std::uint32_t>(std::ceil(total * run / span));
                 auto running = static_cast<std::uint32_t>(job.places.size());
                 double work = static_cast<double>(n) * run * job.spec.need.cpus;
                 n = std::min(n, slots > running ? slots - running : 0);
                 // What the fleet will have done by then anyway, with all that comes first, needs no renting.
                 // Not relied on when time runs short: work is lumpy, and low levels wait for all others.
                 double elapsed = Seconds(now - job.accepted).count();
-                double boot = 0;
-                for (auto& [name, t] : cluster.types()) boot = std::max(boot, t.gpus > 0 ? 0 : t.boot_s);
                 // Nor where a late decision leaves no time to boot and run.
-                if (job.spec.need.cpus > 0 && time > elapsed && left + run > 1.8 * (boot + run)) {
+                if (job.spec.need.cpus > 0 && time > elapsed && left + run > 1.8 * (usual_boot + run)) {
                     double by = left + run, supply = 0, before = 0;
                     for (auto& b : bins) {
-                        if (!suits(job.spec, b.type, b.zone, b.spot)) continue;
+                        const Offer& o = offers[b.offer];
+                        if (!suits(job.spec, o.type, o.zone, o.spot)) continue;
                         supply += b.array_cpus * std::max(0.0, by - b.ready_s);
                         before += b.committed;
                     }
@@ -277,10 +318,15 @@
                        std::max<double>(cluster.rules().headroom_min, cluster.rules().headroom_max)));
         cover(nullptr, headroom, headroom_tasks, true);
     }
-    for (auto& [offer, n] : orders) out.rent.push_back({offer, std::min(n, 50)});
+    // A request names up to 50 machines and the cloud takes few requests a second: the largest go first, and what the
+    // rate will not take soon is left to a later plan.
+    for (auto& [offer, n] : orders)
+        for (int left = n; left > 0; left -= most_per_request)
+            out.rent.push_back({offer, std::min(left, most_per_request)});
+    std::stable_sort(out.rent.begin(), out.rent.end(), [](auto& x, auto& y) { return x.count > y.count; });
 
     for (auto& b : bins) {
-        if (b.fresh || b.used) continue;
+        if (b.name.empty() || b.used) continue;
         auto& m = *cluster.machines().at(b.name);
         if (!m.up) continue;
         // A minute is charged in any case; after that a little patience, since work comes all the time.
--- a/src/fleet/renting.hpp
+++ b/src/fleet/renting.hpp
@@ -30,7 +30,9 @@
     // A refusal for lack of capacity keeps the offer off the list for a while.
     void refused(const Offer& offer, TimePoint now);
     void granted(const Offer& offer);
-    RentPlan plan(const placement::Cluster& cluster, TimePoint now);
+    bool refuses(const Offer& offer, TimePoint now) const;
+    // `coming`: machines asked for whose requests are not answered yet.
+    RentPlan plan(const placement::Cluster& cluster, TimePoint now, const std::vector<Order>& coming = {});
     void note_arrival(const wire::JobSpec& spec, TimePoint now);
 
   private:
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -16,6 +16,19 @@
     return asio::ip::tcp::endpoint(ip, static_cast<unsigned short>(port));
 }
 
+void HttpClient::close_oldest_idle() {
+    auto oldest = idle_.end();
+    for (auto it = idle_.begin(); it != idle_.end();) {
+        if (it->second.empty()) {
+            it = idle_.erase(it);
+            continue;
+        }
+        if (oldest == idle_.end() || it->second.front()->used < oldest->second.front()->used) oldest = it;
+        ++it;
+    }
+    if (oldest != idle_.end()) oldest->second.erase(oldest->second.begin());
+}
+
 Task<Reply> HttpClient::call(std::string address, http::verb method, std::string target,
                              std::optional<Json> body, Clock::duration deadline, std::size_t body_limit) {
     Reply reply;
@@ -34,6 +47,13 @@
     auto token = asio::redirect_error(asio::use_awaitable, ec);
     bool fresh = !conn;
     if (fresh) {
+        // A fleet of a thousand workers would take all of the process's sockets, and reports could not come in.
+        for (const auto end = now + deadline; open_ >= most_open_;) {
+            close_oldest_idle();
+            if (open_ < most_open_) break;
+            if (Clock::now() >= end) co_return reply;
+            co_await sleep_for(std::chrono::milliseconds(20));
+        }
         conn = std::make_unique<Connection>(io_, open_);
         conn->stream.expires_after(deadline);
         co_await conn->stream.async_connect(*endpoint, token);
--- a/src/net/http_client.hpp
+++ b/src/net/http_client.hpp
@@ -24,8 +24,10 @@
 
 class HttpClient {
   public:
-    HttpClient(asio::io_context& io, std::size_t idle_per_peer = 4)
-        : io_(io), idle_per_peer_(idle_per_peer) {}
+    // `most_open` bounds all its connections: idle ones are closed for new ones, oldest first, and a call beyond that
+    // waits its turn.
+    HttpClient(asio::io_context& io, std::size_t idle_per_peer = 4, std::size_t most_open = 10'000)
+        : io_(io), idle_per_peer_(idle_per_peer), most_open_(std::max<std::size_t>(1, most_open)) {}
     Task<Reply> call(std::string address, http::verb method, std::string target, std::optional<Json> body,
                      Clock::duration deadline, std::size_t body_limit = 1 << 20);
     void forget(const std::string& address) { idle_.erase(address); }
@@ -42,6 +44,8 @@
     };
     asio::io_context& io_;
     std::size_t idle_per_peer_;
+    void close_oldest_idle();
+    std::size_t most_open_;
     std::size_t open_ = 0;
     std::map<std::string, std::vector<std::unique_ptr<Connection>>> idle_;
 };
--- a/src/state/state_client.cpp
+++ b/src/state/state_client.cpp
@@ -87,6 +87,18 @@
     co_return out;
 }
 
+Task<std::optional<Snapshot>> StateClient::snapshot() {
+    // One pass from the beginning: parts of different passes do not belong together. Machines whose jobs are missing
+    // would make running tasks look like waiting ones.
+    Snapshot out;
+    for (auto [part, prefix] : {std::pair{&out.jobs, "jobs/"}, std::pair{&out.progress, "progress/"},
+                                std::pair{&out.machines, "machines/"}, std::pair{&out.hires, "hires/"}}) {
+        *part = co_await list(prefix);
+        if (!part->ok) co_return std::nullopt;
+    }
+    co_return out;
+}
+
 Task<TxnResult> StateClient::txn(std::vector<Condition> conditions, std::vector<Operation> operations,
                                  Clock::duration deadline, Pace pace) {
     Json conds = Json::array(), ops = Json::array();
--- a/src/state/state_client.hpp
+++ b/src/state/state_client.hpp
@@ -37,6 +37,11 @@
     std::uint64_t revision = 0;  // of the first page: a watch from there misses nothing
 };
 
+// All that a new leader needs, read in one pass.
+struct Snapshot {
+    Listing jobs, progress, machines, hires;
+};
+
 struct Condition {
     std::string key;
     std::uint64_t version = 0;
@@ -77,6 +82,8 @@
     StateClient(net::asio::io_context& io, std::string address, double rps, double write_rps);
     Task<Value> get(std::string key, Clock::duration deadline = std::chrono::milliseconds(1500));
     Task<Listing> list(std::string prefix);
+    // Everything, or nothing if any part could not be read.
+    Task<std::optional<Snapshot>> snapshot();
     Task<TxnResult> txn(std::vector<Condition> conditions, std::vector<Operation> operations,
                         Clock::duration deadline = std::chrono::milliseconds(2000),
                         Pace pace = Pace::budgeted);
--- a/tests/peers_test.cpp
+++ b/tests/peers_test.cpp
@@ -24,7 +24,7 @@
     std::string address() const { return "127.0.0.1:" + std::to_string(acceptor.local_endpoint().port()); }
     void answer(int status, const wire::Json& body) {
         auto b = wire::encode(body);
-        reply = "HTTP/1.1 " + std::to_string(status) + " x\r\nContent-Length: " + std::to_string(b.size()) +
+        reply = "HTTP/1.1 " + std::to_string(status) + " x\r\nConnection: close\r\nContent-Length: " + std::to_string(b.size()) +
                 "\r\n\r\n" + b;
     }
     template <class T>
@@ -88,6 +88,71 @@
     EXPECT_EQ(result.revision, 12u);
 }
 
+// Found on a day of bdps-manila-grown: a takeover whose reads failed one after the other put together parts of different
+// passes, machines without their jobs, and started hundreds of running tasks a second time.
+TEST(StateClient, ASnapshotIsReadInOnePassOrNotAtAll) {
+    Scripted service;
+    int calls = 0;
+    service.asked = [&](const std::string& target) {
+        bool fail = (calls == 3 && target.find("hires") != std::string::npos) || calls == 4;
+        ++calls;
+        service.answer(fail ? 503 : 200, {{"entries", wire::Json::array()}, {"truncated", false}, {"ledger", 7}});
+    };
+    state::StateClient client(service.io, service.address(), 1000, 1000);
+    std::vector<bool> got;
+    for (int pass = 0; pass < 3; ++pass) {
+        service.io.restart();
+        got.push_back(service.play<bool>(
+            [&]() -> net::Task<bool> { co_return (co_await client.snapshot()).has_value(); }));
+    }
+    EXPECT_EQ(got, (std::vector<bool>{false, false, true}));
+    EXPECT_EQ(calls, 4 + 1 + 4);
+}
+
+// Idle connections to a thousand workers once took all sockets of a node, and no report came in any more.
+TEST(HttpClient, ConnectionsStayWithinTheirBound) {
+    net::asio::io_context io;
+    std::size_t at_once = 0, most = 0;
+    auto serve = [&](tcp::acceptor& acceptor) -> net::Task<> {
+        for (;;) {
+            auto socket = co_await acceptor.async_accept(net::asio::use_awaitable);
+            net::beast::flat_buffer buffer;
+            net::http::request<net::http::string_body> request;
+            co_await net::http::async_read(socket, buffer, request, net::asio::use_awaitable);
+            most = std::max(most, ++at_once);
+            co_await net::sleep_for(20ms);
+            --at_once;
+            std::string reply = "HTTP/1.1 200 x\r\nContent-Length: 1\r\n\r\n\x80";
+            co_await net::asio::async_write(socket, net::asio::buffer(reply), net::asio::use_awaitable);
+            // stays open: the client keeps it idle
+            auto keep = std::make_shared<tcp::socket>(std::move(socket));
+            net::asio::post(io, [keep] {});
+        }
+    };
+    std::vector<std::unique_ptr<tcp::acceptor>> peers;
+    for (int i = 0; i < 6; ++i) {
+        peers.push_back(std::make_unique<tcp::acceptor>(
+            io, tcp::endpoint(net::asio::ip::make_address("127.0.0.1"), 0)));
+        net::asio::co_spawn(io, serve(*peers.back()), net::asio::detached);
+    }
+    net::HttpClient client(io, 1, 2);
+    int answered = 0;
+    std::size_t most_open = 0;
+    auto ask = [&](int i) -> net::Task<> {
+        auto port = peers[static_cast<std::size_t>(i)]->local_endpoint().port();
+        auto reply = co_await client.call("127.0.0.1:" + std::to_string(port), net::http::verb::get, "/",
+                                          std::nullopt, 3s);
+        answered += reply.status == 200;
+        most_open = std::max(most_open, client.open());
+        if (answered == 6) io.stop();
+    };
+    for (int i = 0; i < 6; ++i) net::asio::co_spawn(io, ask(i), net::asio::detached);
+    io.run_for(5s);
+    EXPECT_EQ(answered, 6);
+    EXPECT_LE(most, 2u);
+    EXPECT_LE(most_open, 2u);
+}
+
 // A user's submission must not stand behind the leader's own writes, which wait for seconds while the fleet is busy.
 TEST(StateClient, AnAcceptanceDoesNotWaitForTheBudgetButIsChargedToIt) {
     Scripted peer;
