Arrays short of time preempt lower work that saves; machines ranked once per job

Change: an array that would be late if it waited for a boot stops lower work that saves; machines are ranked once per job and filled in turn, which gives the same choice; a round without waiting tasks does nothing; aims alone say how long a job may wait, where there are any. Tests: those of placement and preemption, unchanged, and Takeover.TasksReportedBeforeTheirJobIsKnownAreNotStartedAgain.

--- a/src/fleet/machine.hpp
+++ b/src/fleet/machine.hpp
@@ -39,6 +39,10 @@
     TimePoint running{};  // when it was first seen running
     TimePoint ended{};
     wire::Resources need;
+    // Of its job, kept here so that a look at a machine needs no look-up of jobs.
+    wire::Priority level = wire::Priority::low;
+    bool may_yield = false;  // no replica: lower work may be stopped for higher
+    bool saves = false;
     bool exited() const { return phase == Phase::seen && state == wire::TaskState::exited; }
 };
 
@@ -70,6 +74,7 @@
     int errors = 0, successes = 0;
     double slowness = 1.0;
     wire::Resources capacity;
+    wire::Resources free, reserved;  // in a placing round: room, and what of it stopped tasks will leave to others
     double cache_gb = 0, fetch_gb_per_s = 0.1;
     std::unordered_map<wire::Attempt, Entry, wire::AttemptHash> entries;
     std::list<std::pair<std::string, double>> images;  // most recently used first, as far as we can tell
--- a/src/fleet/renting.cpp
+++ b/src/fleet/renting.cpp
@@ -31,31 +31,19 @@
 
 namespace {
 
+enum class Soft { none, kept, all };
+
 struct Bin {
     std::string name;       // empty: not rented yet
     std::size_t offer = 0;  // its sort, as an index
-    wire::Resources room, soft;  // soft: room that lower work would yield
+    wire::Resources room;
+    wire::Resources soft, soft_kept;  // that lower work would yield: to production, and to arrays short of time
     bool used = false;
     double array_cpus = 0;  // CPUs that arrays have or can get
     double committed = 0;   // CPU seconds that running tasks of arrays still need
     double ready_s = 0;
 };
 
-// Time within which the job's tasks should all have been started, from now.
-double time_left(const Job& job, const placement::Rules& rules, TimePoint now) {
-    double elapsed = Seconds(now - job.accepted).count();
-    double run = job.run_guess();
-    double left = std::max(60.0, 3 * run);
-    for (auto& o : rules.objectives) {
-        if (o.job_class != job.spec.job_class) continue;
-        if (o.kind == "wait") left = std::min(left, o.within_s - elapsed);
-        if (o.kind == "finished") left = std::min(left, 0.8 * o.within_s - elapsed - run);
-        if (o.kind == "deadline" && job.spec.deadline_s)
-            left = std::min(left, *job.spec.deadline_s - elapsed - run);
-    }
-    return left;
-}
-
 // Usual boots take up to 1.5 times the nominal time.
 constexpr int most_per_request = 50;  // the cloud's bound
 constexpr double late_boot = 1.7, hopeless_boot = 2.5;
@@ -156,6 +144,7 @@
         for (auto& [a, e] : m->entries)
             if (e.stop && !e.exited()) b.room += e.need;
         b.soft = cluster.preemptible(*m, wire::Priority::production);
+        b.soft_kept = cluster.preemptible(*m, wire::Priority::normal, true);
         b.array_cpus = std::max(0.0, b.room.cpus);
         if (!m->up) b.ready_s = std::max(2.0, boot_s(cluster, *m) - Seconds(now - m->rented).count());
         for (auto& [a, e] : m->entries) {
@@ -181,7 +170,7 @@
     // Puts n tasks of a shape into bins, renting what is missing. `soft` counts room that can be made. A bin that
     // takes a task only becomes the better choice for the next one, so each is filled in turn: one look at every bin
     // for a job, not one for each of its tasks.
-    auto cover = [&](const Job* job, const wire::JobSpec& s, std::uint32_t n, bool soft) {
+    auto cover = [&](const Job* job, const wire::JobSpec& s, std::uint32_t n, Soft soft) {
         std::map<std::string, std::uint32_t> in_zone;
         if (job && (s.spread || s.one_zone))
             for (auto& [index, list] : job->places)
@@ -200,7 +189,8 @@
             suitable[i] = suits(s, offers[i].type, offers[i].zone, offers[i].spot);
         auto reach = [&](const Bin& b) {
             wire::Resources room = b.room;
-            if (soft) room += b.soft;
+            if (soft == Soft::all) room += b.soft;
+            if (soft == Soft::kept) room += b.soft_kept;
             return room;
         };
         auto fill = [&](Bin& b, std::uint32_t& k) {
@@ -271,7 +261,7 @@
             if (job.spec.sort == Sort::array) {
                 // Tasks that run one after the other on the same slot need fewer slots.
                 double run = job.run_guess() + 1;
-                double time = time_left(job, cluster.rules(), now);
+                double time = cluster.time_left(job, now);
                 double left = std::max(run, time);
                 double total = static_cast<double>(n) + static_cast<double>(job.places.size());
                 // A machine rented for it now serves nothing while it boots and fetches the image.
@@ -299,7 +289,10 @@
                 }
                 ahead.emplace_back(job.spec.spot_ok, work);
             }
-            cover(&job, job.spec, n, job.spec.priority == wire::Priority::production);
+            cover(&job, job.spec, n,
+                  job.spec.priority == wire::Priority::production                                  ? Soft::all
+                  : job.spec.priority == wire::Priority::normal && cluster.may_preempt(job, now) ? Soft::kept
+                                                                                                 : Soft::none);
         }
     // Room kept for services that may come: what arrived lately within two boot times, at least two tasks.
     while (!service_arrivals_.empty() && now - service_arrivals_.front().first > secs(120))
@@ -316,7 +309,7 @@
         headroom_tasks = static_cast<std::uint32_t>(
             std::clamp(std::ceil(tasks / 120 * 45), static_cast<double>(cluster.rules().headroom_min),
                        std::max<double>(cluster.rules().headroom_min, cluster.rules().headroom_max)));
-        cover(nullptr, headroom, headroom_tasks, true);
+        cover(nullptr, headroom, headroom_tasks, Soft::all);
     }
     // A request names up to 50 machines and the cloud takes few requests a second: the largest go first, and what the
     // rate will not take soon is left to a later plan.
--- a/src/placement/cluster.cpp
+++ b/src/placement/cluster.cpp
@@ -12,6 +12,11 @@
 using wire::Sort;
 using wire::TaskState;
 
+namespace {
+// Bounds the time of a round and what its starts put into the line of writes; the next round follows at once.
+constexpr std::size_t most_starts_a_round = 400;
+}  // namespace
+
 wire::Standing Job::standing() const {
     if (cancel_durable) return wire::Standing::cancelled;
     if (finished() && durable_done.size() == spec.tasks) return wire::Standing::done;
@@ -60,6 +65,14 @@
         }
         queue_.set_waiting(job.spec.priority, {job.accepted_ms, job.spec.id}, 0, job.waiting.size());
     }
+    // Workers may have reported tasks of it before this leader knew the job: they are on their machines.
+    for (auto& [name, m] : machines_)
+        for (auto& [a, e] : m->entries)
+            if (a.task.job == job.spec.id && a.task.index < job.spec.tasks && !e.exited()) {
+                describe(e, job);
+                job.places[a.task.index].emplace_back(name, a.number);
+                set_waiting(job, a.task.index, false);
+            }
     if (job.cancelled || job.finished()) mark_dirty(job);
     return job;
 }
@@ -163,7 +176,7 @@
         e.since = now;
         Job* job = find_job(a.task.job);
         if (job) {
-            e.need = job->spec.need;
+            describe(e, *job);
             job->places[a.task.index].emplace_back(name, a.number);
             set_waiting(*job, a.task.index, false);
             if (job->cancelled) e.stop = true;
@@ -241,7 +254,7 @@
                 auto it = m.entries.find(c.attempt);
                 if (it == m.entries.end()) break;
                 if (!job) break;
-                it->second.need = job->spec.need;
+                describe(it->second, *job);
                 auto& list = job->places[index];
                 std::pair<std::string, std::uint64_t> here{m.name, c.attempt.number};
                 if (std::find(list.begin(), list.end(), here) == list.end()) list.push_back(here);
@@ -509,38 +522,51 @@
     return true;
 }
 
-Machine* Cluster::choose(const Job& job, TimePoint now) {
-    Machine* best = nullptr;
-    double best_score = 0;
+void Cluster::describe(Entry& e, const Job& job) {
+    e.need = job.spec.need;
+    e.level = job.spec.priority;
+    e.may_yield = job.spec.sort != Sort::service;
+    e.saves = job.spec.checkpoint_s > 0;
+}
+
+// A machine that takes a task only becomes the better choice for the next one of the same job (a tighter fit, its image
+// under way), and no other machine changes. So the order holds for all of its tasks, and filling the machines in turn
+// gives what a search for each task would give.
+std::vector<Machine*> Cluster::rank(const Job& job, TimePoint now) const {
+    std::vector<std::pair<double, Machine*>> scored;
+    const auto& s = job.spec;
     for (auto& [name, mp] : machines_) {
         Machine& m = *mp;
-        if (!usable(m, now) || !allowed(job.spec, m)) continue;
-        wire::Resources room = m.room();
-        if (auto r = reserved_.find(name); r != reserved_.end()) room -= r->second;
-        if (!job.spec.need.fits(room)) continue;
-        if (!zone_ok(job, m.zone)) continue;
+        wire::Resources room = m.free;
+        room -= m.reserved;
+        if (!s.need.fits(room) || !usable(m, now) || !allowed(s, m)) continue;
         double score = 0;
-        double fetch_s = m.has_image(job.spec.image)  ? 0
-                         : m.fetching(job.spec.image) ? 0.5 * job.spec.image_gb / m.fetch_gb_per_s
-                                                      : job.spec.image_gb / m.fetch_gb_per_s;
-        score -= fetch_s * (job.spec.sort == Sort::service ? 10.0 : 1.0);
-        if (job.spec.spot_ok && m.spot) score += 8;
+        double fetch_s = m.has_image(s.image)  ? 0
+                         : m.fetching(s.image) ? 0.5 * s.image_gb / m.fetch_gb_per_s
+                                               : s.image_gb / m.fetch_gb_per_s;
+        score -= fetch_s * (s.sort == Sort::service ? 10.0 : 1.0);
+        if (s.spot_ok && m.spot) score += 8;
         if (job.failed_on.contains(name)) score -= 1000;
         score -= m.errors * 20.0;
         score -= (m.slowness - 1.0) * 30.0;
         // The tightest fit keeps other machines whole.
-        if (m.capacity.cpus > 0) score -= 3.0 * (room.cpus - job.spec.need.cpus) / m.capacity.cpus;
-        if (!best || score > best_score) best = &m, best_score = score;
+        if (m.capacity.cpus > 0) score -= 3.0 * (room.cpus - s.need.cpus) / m.capacity.cpus;
+        scored.emplace_back(score, &m);
     }
-    return best;
+    std::stable_sort(scored.begin(), scored.end(), [](auto& x, auto& y) { return x.first > y.first; });
+    std::vector<Machine*> out;
+    out.reserve(scored.size());
+    for (auto& [score, m] : scored) out.push_back(m);
+    return out;
 }
 
 void Cluster::place(Job& job, std::uint32_t index, Machine& m, std::uint64_t attempt, TimePoint now) {
     Attempt a{{job.spec.id, index}, attempt};
     Entry e;
     e.since = now;
-    e.need = job.spec.need;
+    describe(e, job);
     m.entries.emplace(a, e);
+    m.free -= e.need;
     m.idle_since = now;
     if (!m.has_image(job.spec.image)) m.note_fetch(job.spec.image, job.spec.image_gb);
     job.places[index].emplace_back(m.name, attempt);
@@ -575,9 +601,9 @@
                 if (!zone.empty() && m.zone != zone) continue;
                 if (!usable(m, now) || !allowed(job.spec, m) || m.slowness > 1.8) continue;
                 if (job.spec.spread && in_zone[m.zone] + 1 > (job.spec.tasks + 1) / 2) continue;
-                wire::Resources room = m.room();
+                wire::Resources room = m.free;
+                room -= m.reserved;
                 if (auto t = taken.find(name); t != taken.end()) room -= t->second;
-                if (auto r = reserved_.find(name); r != reserved_.end()) room -= r->second;
                 if (!job.spec.need.fits(room)) continue;
                 double score = (m.has_image(job.spec.image) ? 0 : -job.spec.image_gb / m.fetch_gb_per_s) -
                                (job.failed_on.contains(name) ? 1000 : 0) - m.errors * 20.0 +
@@ -599,80 +625,125 @@
     return false;
 }
 
-wire::Resources Cluster::preemptible(const Machine& m, Priority level) const {
+wire::Resources Cluster::preemptible(const Machine& m, Priority level, bool kept) const {
     wire::Resources r;
-    for (auto& [a, e] : m.entries) {
-        if (e.exited() || e.stop) continue;
-        auto it = jobs_.find(a.task.job);
-        if (it == jobs_.end()) continue;
-        if (it->second->spec.priority > level && it->second->spec.sort != Sort::service) r += e.need;
-    }
+    for (auto& [a, e] : m.entries)
+        if (!e.exited() && !e.stop && e.may_yield && e.level > level && (e.saves || !kept)) r += e.need;
     return r;
 }
 
-// Lower work makes room for production and urgent work. Room that is already being made is waited for.
-Cluster::Room Cluster::make_room(Job& job, TimePoint now, bool with_image) {
-    if (job.spec.priority > Priority::high) return Room::none;
+double Cluster::usual_boot_s() const {
+    double boot = 0;
+    for (auto& [name, t] : types_)
+        if (t.gpus <= 0) boot = std::max(boot, t.boot_s);
+    return boot;
+}
+
+double Cluster::time_left(const Job& job, TimePoint now) const {
+    double elapsed = Seconds(now - job.accepted).count();
+    double run = job.run_guess();
+    std::optional<double> left;
+    auto at_most = [&](double x) { left = std::min(left.value_or(x), x); };
+    for (auto& o : rules_.objectives) {
+        if (o.job_class != job.spec.job_class) continue;
+        // Work is lumpy and estimates are off: some of the time is kept back.
+        if (o.kind == "wait") at_most((job.spec.sort == Sort::array ? 0.7 : 1.0) * o.within_s - elapsed);
+        if (o.kind == "finished") at_most(0.8 * o.within_s - elapsed - run);
+        if (o.kind == "deadline" && job.spec.deadline_s) at_most(*job.spec.deadline_s - elapsed - run);
+    }
+    return left.value_or(std::max(60.0, 3 * run));  // nobody said when
+}
+
+bool Cluster::may_preempt(const Job& job, TimePoint now) const {
+    if (job.spec.priority <= Priority::high) return true;
+    return job.spec.sort == Sort::array && time_left(job, now) < usual_boot_s();
+}
+
+// Lower work makes room. Room that is already being made is waited for.
+Cluster::Room Cluster::make_room(Job& job, std::uint32_t tasks, TimePoint now, bool with_image) {
+    Room out;
+    if (!may_preempt(job, now)) return out;
+    const bool kept_only = job.spec.priority > Priority::high;
+    const auto& need = job.spec.need;
+    struct Victim {
+        Attempt a;
+        wire::Resources need;
+        double cost;
+    };
     struct Plan {
-        Machine* machine = nullptr;
-        std::vector<Attempt> victims;
+        Machine* machine;
+        std::vector<Victim> victims;
         double cost = 0;
-    } best;
+    };
+    auto coming = [&](Machine& m) {  // what will be free once the stopped tasks are out
+        wire::Resources room = m.free;
+        room -= m.reserved;
+        for (auto& [a, e] : m.entries)
+            if (e.stop && !e.exited()) room += e.need;
+        return room;
+    };
+    auto reserve = [&](Machine& m, wire::Resources room) {
+        while (out.tasks < tasks && need.fits(room)) {
+            room -= need;
+            m.reserved += need;
+            ++out.tasks;
+        }
+    };
+    std::vector<Plan> plans;
     for (auto& [name, mp] : machines_) {
         Machine& m = *mp;
-        if (!usable(m, now) || !allowed(job.spec, m) || !zone_ok(job, m.zone) || m.slowness > 1.8) continue;
+        if (out.tasks >= tasks) return out;
+        bool lower = false;
+        for (auto& [a, e] : m.entries) lower |= !e.exited() && (e.stop || (e.may_yield && e.level > job.spec.priority));
+        if (!lower || !usable(m, now) || !allowed(job.spec, m) || !zone_ok(job, m.zone) || m.slowness > 1.8) continue;
         if (with_image && !m.has_image(job.spec.image)) continue;
-        wire::Resources room = m.room();
-        for (auto& [a, e] : m.entries)
-            if (e.stop && !e.exited()) room += e.need;
-        if (auto r = reserved_.find(name); r != reserved_.end()) room -= r->second;
-        if (job.spec.need.fits(room)) {
-            // Stopped tasks are on their way out here.
-            reserved_[name] += job.spec.need;
-            return Room::coming;
+        wire::Resources room = coming(m);
+        if (need.fits(room)) {
+            reserve(m, room);
+            continue;
         }
-        struct Victim {
-            Attempt a;
-            wire::Resources need;
-            double cost;
-        };
-        std::vector<Victim> list;
+        Plan plan{&m, {}, m.has_image(job.spec.image) ? 0 : 10 * job.spec.image_gb / m.fetch_gb_per_s};
         for (auto& [a, e] : m.entries) {
-            if (e.exited() || e.stop) continue;
+            if (e.exited() || e.stop || !e.may_yield || e.level <= job.spec.priority || (kept_only && !e.saves)) continue;
             Job* other = find_job(a.task.job);
-            if (!other || other->spec.priority <= job.spec.priority || other->spec.sort == Sort::service)
-                continue;
-            if (other->spec.sort == Sort::gang && other->spec.tasks > 1) continue;
+            if (!other || (other->spec.sort == Sort::gang && other->spec.tasks > 1)) continue;
             double ran = e.running == TimePoint{} ? 0 : Seconds(now - e.running).count();
-            double lost = other->spec.checkpoint_s > 0 ? std::min(ran, 2.0) + other->spec.save_s : ran;
-            list.push_back(
-                {a, e.need,
-                 (lost + 2) * std::max(0.1, e.need.cpus) - 10.0 * static_cast<double>(other->spec.priority)});
+            double lost = e.saves ? std::min(ran, 2.0) + other->spec.save_s : ran;
+            // A start counts for its users only if the task is left alone for a while.
+            if (ran < 30) lost += 10;
+            plan.victims.push_back(
+                {a, e.need, (lost + 2) * std::max(0.1, e.need.cpus) - 10.0 * static_cast<double>(e.level)});
         }
-        std::sort(list.begin(), list.end(), [](auto& x, auto& y) { return x.cost < y.cost; });
-        Plan plan{&m, {}, m.has_image(job.spec.image) ? 0 : 10 * job.spec.image_gb / m.fetch_gb_per_s};
-        for (auto& v : list) {
-            if (job.spec.need.fits(room)) break;
-            room += v.need;
-            plan.victims.push_back(v.a);
-            plan.cost += v.cost;
+        std::sort(plan.victims.begin(), plan.victims.end(), [](auto& x, auto& y) { return x.cost < y.cost; });
+        std::size_t used = 0;
+        while (used < plan.victims.size() && !need.fits(room)) {
+            room += plan.victims[used].need;
+            plan.cost += plan.victims[used++].cost;
         }
-        if (!job.spec.need.fits(room) || plan.victims.empty()) continue;
-        if (!best.machine || plan.cost < best.cost) best = std::move(plan);
+        plan.victims.resize(used);
+        if (need.fits(room) && used > 0) plans.push_back(std::move(plan));
     }
-    if (!best.machine) return Room::none;
-    spdlog::info("{} makes room on {}: {} lower tasks stop", job.spec.id, best.machine->name,
-                 best.victims.size());
-    for (auto& a : best.victims) {
-        Job* other = find_job(a.task.job);
-        // Saving comes first unless users would wait for it: a replica is late, or would be.
-        bool hurry =
-            job.spec.sort == Sort::service && other && start_slack(job, now) < other->spec.save_s + 1;
-        note_stop(*best.machine, a, best.machine->entries.at(a), other && !hurry ? grace_for(*other) : 0, now,
-                  "preempted");
+    std::stable_sort(plans.begin(), plans.end(), [](auto& x, auto& y) { return x.cost < y.cost; });
+    std::size_t stopped = 0, on = 0;
+    for (auto& plan : plans) {
+        if (out.tasks >= tasks) break;
+        for (auto& v : plan.victims) {
+            Job* other = find_job(v.a.task.job);
+            // Saving comes first unless users would wait for it: a replica is late, or would be.
+            bool hurry =
+                job.spec.sort == Sort::service && other && start_slack(job, now) < other->spec.save_s + 1;
+            note_stop(*plan.machine, v.a, plan.machine->entries.at(v.a), other && !hurry ? grace_for(*other) : 0, now,
+                      "preempted");
+            ++stopped;
+        }
+        out.stopped = true;
+        ++on;
+        reserve(*plan.machine, coming(*plan.machine));
     }
-    reserved_[best.machine->name] += job.spec.need;
-    return Room::made;
+    if (stopped)
+        spdlog::info("{} makes room on {} machines, {} first: {} lower tasks stop", job.spec.id, on,
+                     plans.front().machine->name, stopped);
+    return out;
 }
 
 double Cluster::start_slack(const Job& job, TimePoint now) const {
@@ -684,42 +755,61 @@
 }
 
 bool Cluster::round(TimePoint now) {
+    if (queue_.waiting() == 0) return false;
     usage_.clear();
-    reserved_.clear();
-    for (auto& [name, m] : machines_)
+    bool limited = std::any_of(rules_.teams.begin(), rules_.teams.end(),
+                               [](auto& t) { return t.second.cpus_max > 0 || t.second.gpus_max > 0; });
+    for (auto& [name, m] : machines_) {
+        m->reserved = {};
+        m->free = m->room();
+        if (!limited) continue;
         for (auto& [a, e] : m->entries)
             if (!e.exited())
                 if (Job* job = find_job(a.task.job)) usage_[job->spec.team] += e.need;
+    }
     bool acted = false;
     std::size_t placed = 0;
     // Shapes that fitted nowhere in this round need not be tried again: room only shrinks during a round. So
     // a long queue of like tasks costs one look, not a walk over all machines for each.
-    std::set<std::string> misfits;
+    std::set<std::string> misfits, stuck;  // stuck: no room can be made either
     for (int level = 0; level < wire::priority_levels; ++level) {
         std::vector<std::string> order;
         for (auto& p : queue_.level(level)) order.push_back(p.id);
         for (auto& id : order) {
-            if (placed >= 400) return true;
+            if (placed >= most_starts_a_round) return true;
             Job* job = find_job(id);
             if (!job || job->cancelled || now < job->retry_at) continue;
             const auto& s = job->spec;
             const std::string& shape = job->shape;
-            if (misfits.contains(shape) && s.priority > Priority::high) continue;
+            const bool anywhere = !s.spread && !s.one_zone;  // what fits does not depend on its other tasks
+            const std::string key = std::to_string(level) + "/" + shape;
+            if (misfits.contains(shape) && (stuck.contains(key) || !may_preempt(*job, now))) continue;
             if (s.sort == Sort::gang) {
                 if (place_gang(*job, now)) {
                     placed += s.tasks;
                     acted = true;
                 } else if (job->places.empty()) {
-                    if (s.tasks == 1) acted |= make_room(*job, now, false) == Room::made;
-                    if (!s.one_zone && !s.spread && s.tasks == 1) misfits.insert(shape);
+                    if (s.tasks == 1) acted |= make_room(*job, 1, now, false).stopped;
+                    if (anywhere && s.tasks == 1) misfits.insert(shape);
                 }
                 continue;
             }
+            std::vector<Machine*> ranked;
+            if (!misfits.contains(shape)) ranked = rank(*job, now);
+            std::size_t at = 0;
+            auto choose = [&]() -> Machine* {
+                for (; at < ranked.size(); ++at) {
+                    wire::Resources room = ranked[at]->free;
+                    room -= ranked[at]->reserved;
+                    if (s.need.fits(room) && zone_ok(*job, ranked[at]->zone)) return ranked[at];
+                }
+                return nullptr;
+            };
             std::uint32_t cursor = 0;
             while (auto next = job->waiting.next(cursor)) {
-                if (placed >= 400 || !team_has_room(*job, 1)) break;
+                if (placed >= most_starts_a_round || !team_has_room(*job, 1)) break;
                 std::uint32_t index = *next;
-                Machine* m = misfits.contains(shape) ? nullptr : choose(*job, now);
+                Machine* m = choose();
                 // The worker refuses a second attempt of a task that it still lists.
                 if (m && m->holds_task({id, index})) {
                     touch(m->name);
@@ -730,20 +820,20 @@
                     // is.
                     double slack = start_slack(*job, now);
                     if (slack > 0.2 && s.image_gb / m->fetch_gb_per_s > slack) {
-                        auto made = make_room(*job, now, true);
-                        if (made != Room::none) {
-                            acted |= made == Room::made;
+                        auto made = make_room(*job, 1, now, true);
+                        if (made.tasks > 0) {
+                            acted |= made.stopped;
                             cursor = index + 1;
                             continue;
                         }
                     }
                 }
                 if (!m) {
-                    if (!s.spread && !s.one_zone) misfits.insert(shape);
-                    // One try of preemption for each task that waits, within reason.
-                    std::uint32_t tries = std::min<std::uint32_t>(job->waiting.size(), 16);
-                    for (std::uint32_t k = 0; k < tries; ++k)
-                        acted |= make_room(*job, now, false) == Room::made;
+                    if (anywhere) misfits.insert(shape);
+                    auto wanted = job->waiting.size();
+                    auto made = make_room(*job, wanted, now, false);
+                    acted |= made.stopped;
+                    if (anywhere && made.tasks < wanted && may_preempt(*job, now)) stuck.insert(key);
                     break;
                 }
                 place(*job, index, *m, next_attempt(), now);
--- a/src/placement/cluster.hpp
+++ b/src/placement/cluster.hpp
@@ -141,7 +141,14 @@
     std::set<std::string> take_touched() {
         return std::exchange(touched_, {});
     }  // machines with something to send
-    wire::Resources preemptible(const Machine& m, wire::Priority level) const;
+    // What lower work on a machine would leave to work of a level; `kept`: only work that loses nothing.
+    wire::Resources preemptible(const Machine& m, wire::Priority level, bool kept = false) const;
+    // Time within which the job's tasks should all have been started, from now.
+    double time_left(const Job& job, TimePoint now) const;
+    // Whether a job may stop lower work: always at the upper levels; below, an array that would be late if it waited
+    // for a machine to boot, and only work that saves.
+    bool may_preempt(const Job& job, TimePoint now) const;
+    double usual_boot_s() const;
     bool runs_service(const Machine& m) const;
     void touch(const std::string& machine) { touched_.insert(machine); }
 
@@ -152,12 +159,17 @@
     void set_waiting(Job& job, std::uint32_t index, bool waiting);
     void finish_task(Job& job, std::uint32_t index);
     void mark_dirty(Job& job);
-    Machine* choose(const Job& job, TimePoint now);
+    // The machines that can take a task of the job, best first.
+    std::vector<Machine*> rank(const Job& job, TimePoint now) const;
+    static void describe(Entry& e, const Job& job);
     void drop_unsent(Machine& m);
     void place(Job& job, std::uint32_t index, Machine& m, std::uint64_t attempt, TimePoint now);
     bool place_gang(Job& job, TimePoint now);
-    enum class Room { none, coming, made };
-    Room make_room(Job& job, TimePoint now, bool with_image);
+    struct Room {
+        std::uint32_t tasks = 0;  // that will find room shortly
+        bool stopped = false;     // something was stopped for it
+    };
+    Room make_room(Job& job, std::uint32_t tasks, TimePoint now, bool with_image);
     double start_slack(const Job& job, TimePoint now) const;  // until its tasks should have started
     bool team_has_room(const Job& job, std::uint32_t tasks) const;
     void reconcile_reported(Machine& m, TimePoint now);
@@ -177,7 +189,6 @@
     std::unordered_map<std::string, wire::Resources> usage_;  // by team, during a round
     std::uint64_t token_ = 0, first_token_ = 0, attempts_ = 0;
     TimePoint acquired_{};
-    std::map<std::string, wire::Resources> reserved_;  // room that stopped tasks will leave, by machine
 };
 
 }  // namespace barrowrun::placement
--- a/tests/cluster_test.cpp
+++ b/tests/cluster_test.cpp
@@ -94,6 +94,19 @@
         for (auto& [name, number] : list) EXPECT_TRUE(index == 0 || number > (50ULL << 20));
 }
 
+// A worker may report tasks before the leader has heard of their job: they are running all the same.
+TEST(Takeover, TasksReportedBeforeTheirJobIsKnownAreNotStartedAgain) {
+    Fleet f;
+    Attempt zero{{"wk-1", 0}, 7};
+    f.cluster->on_report(f.report("n-1", {{zero, TaskState::running, Cause::none, false}}), true, f.now);
+    f.up("n-2");
+    auto& job = f.add(f.spec("wk-1", 2));
+    f.place_all();
+    EXPECT_EQ(job.places.at(0).size(), 1u);
+    for (auto& a : f.on("n-2")) EXPECT_NE(a.task.index, 0u);
+    EXPECT_TRUE(job.waiting.empty());
+}
+
 TEST(Takeover, ASilentMachineIsCountedFromTheAcquisition) {
     Fleet f;
     f.restart(50);
