Takeover asks workers a few at a time; a leader that lags takes no worker for silent

Change: 16 questions to workers at once, replicas first, none to a worker that knows the token by then; after its own timer was late by 250 ms a leader judges no silence for a while; what was given up lately counts when it asks whether the trouble is its own; an extension's late answer counts (from when it was sent).

--- a/src/api/leader.cpp
+++ b/src/api/leader.cpp
@@ -8,6 +8,11 @@
 using state::Outcome;
 using namespace std::chrono_literals;
 
+namespace {
+// Questions to machines beside their reports, at once: a share of what a process with a fraction of a core can do.
+constexpr int asked_at_once = 16;
+}  // namespace
+
 std::int64_t wall_ms() {
     return std::chrono::duration_cast<std::chrono::milliseconds>(
                std::chrono::system_clock::now().time_since_epoch())
@@ -91,8 +96,18 @@
                  Seconds(now - begun).count() * 1000, count, machines.items.size(), open_hires_.size());
     // Every known worker hears of the new token at once: that fences the predecessor and brings fresh
     // reports.
-    for (auto& [name, m] : cluster_.machines())
-        if (!m->address.empty()) spawn("fence " + name, push(name, true));
+    // Not all at once: a thousand connections took this process's whole share for seconds, the hold was not extended
+    // meanwhile, and the next leader did the same. Machines with replicas first.
+    auto names = std::make_shared<std::deque<std::string>>();
+    for (auto& [name, m] : cluster_.machines()) {
+        m->probed = now;
+        if (m->address.empty()) continue;
+        if (cluster_.runs_service(*m))
+            names->push_front(name);
+        else
+            names->push_back(name);
+    }
+    for (int i = 0; i < asked_at_once; ++i) spawn("fences", fence_known(names));
     spawn("place", place_loop());
     spawn("write", write_loop());
     spawn("tick", tick_loop());
@@ -103,6 +118,16 @@
     for (auto& [request, hire] : open_hires_) spawn("rent " + request, rent_one(request, hire, false));
 }
 
+Task<> Leader::fence_known(std::shared_ptr<std::deque<std::string>> names) {
+    while (!names->empty()) {
+        auto name = std::move(names->front());
+        names->pop_front();
+        // One that has reported to us by now knows our token.
+        auto* m = cluster_.find_machine(name);
+        if (m && !(m->up && m->token_seen >= cluster_.token())) co_await push(name, true);
+    }
+}
+
 // ---- jobs ----------------------------------------------------------------------------------------------
 
 void Leader::add(const state::JobRecord& record) {
@@ -435,7 +460,11 @@
     // questions.
     std::vector<std::string> out;
     const auto& rules = services_.settings.rules;
-    std::size_t known = 0, quiet = 0;
+    if (now < deaf_until_) return out;
+    // What was given up lately still counts: a trouble of ours must not eat the fleet wave by wave.
+    while (!given_up_.empty() && now - given_up_.front() > secs(2 * rules.lease_s)) given_up_.pop_front();
+    std::size_t known = given_up_.size(), quiet = given_up_.size();
+    int probes = asked_at_once;
     // A machine that a predecessor gave tasks to was up; one that this leader never heard is silent since it
     // leads.
     auto heard = [&](const fleet::Machine& m) { return std::max(m.last_report, acquired_); };
@@ -452,7 +481,8 @@
                 spdlog::info("machine {} has been silent for {:.1f} s", name, Seconds(since).count());
             m->suspect = true;
             out.push_back(name);
-        } else if (!m->probing && !m->address.empty()) {
+        } else if (!m->probing && !m->address.empty() && probes > 0) {
+            --probes;
             m->probing = true;
             spawn("probe " + name, probe(name));
         }
@@ -467,7 +497,7 @@
     // the rest of the fleet and the state service must have been heard just now.
     if (!out.empty()) {
         auto window = secs(std::max(1.2, 0.5 * rules.report_s));
-        if (!fleet::hears_the_fleet(recent(now, window), known - quiet) ||
+        if (!fleet::hears_the_fleet(recent(now, window), known - std::min(known, quiet)) ||
             now - services_.state.last_ok() > 1500ms)
             out.clear();
     }
@@ -476,13 +506,22 @@
 
 Task<> Leader::tick_loop() {
     for (;;) {
+        auto due = Clock::now() + 200ms;
         co_await net::sleep_for(200ms);
         auto now = Clock::now();
+        if (now - due > 250ms) {
+            auto until = now + secs(1.25 * services_.settings.rules.report_s + 1);
+            if (deaf_until_ < now)
+                spdlog::info("this process is {:.1f} s behind: silence of machines counts for nothing for a while",
+                             Seconds(now - due).count());
+            deaf_until_ = std::max(deaf_until_, until);
+        }
         if (!may_act()) continue;
         cluster_.lead(services_.election.token(), acquired_);
         cluster_.tick(now);
         const auto& rules = services_.settings.rules;
         bool moved = false;
+        int asked = 0;
         for (auto& [name, m] : cluster_.machines()) {
             cluster_.touch(name);
             if (!m->entries.empty() && now >= m->lease_end(rules.lease_s, acquired_)) {
@@ -490,9 +529,11 @@
                 moved = true;
             }
             if (!m->up && !m->address.empty() && now - m->probed > 2s && m->entries.size() > 0) {
+                if (++asked > asked_at_once) continue;
                 m->probed = now;
                 spawn("fence " + name, push(name, true));
             } else if (m->up && !m->push_ok && !m->probing && now - m->probed > 3s) {
+                if (++asked > asked_at_once) continue;
                 m->probed = now;
                 m->probing = true;
                 spawn("probe " + name, probe(name));
@@ -503,6 +544,7 @@
             for (auto& name : gone) {
                 spdlog::warn("machine {} stays silent: it is returned, to prove it empty", name);
                 cluster_.find_machine(name)->returning = true;
+                given_up_.push_back(now);
             }
             spawn("return", give_back(gone, true));
         }
--- a/src/api/leader.hpp
+++ b/src/api/leader.hpp
@@ -62,6 +62,7 @@
     Task<> give_back(std::vector<std::string> names, bool proof);
     Task<> push(std::string machine, bool fence);
     Task<> probe(std::string machine);
+    Task<> fence_known(std::shared_ptr<std::deque<std::string>> names);
     Task<> restamp();
     void spawn(std::string name, Task<> duty) {
         duties_.spawn(std::move(name), shared_from_this(), std::move(duty));
@@ -83,6 +84,9 @@
     std::map<std::string, TimePoint> early_answer_;  // leases renewed by then
     std::map<std::string, state::HireRecord> open_hires_;
     TimePoint last_hello_{}, last_direct_{};
+    // Until then this process hears late, having fallen behind itself: silence proves nothing about a machine.
+    TimePoint deaf_until_{};
+    std::deque<TimePoint> given_up_;  // silent machines returned, lately
     std::map<std::string, TimePoint> redirected_;
     std::set<std::string> returned_;  // still listed for a while
 };
--- a/src/election/election.cpp
+++ b/src/election/election.cpp
@@ -155,7 +155,8 @@
     bool silent_logged = false;
     while (leader_) {
         auto sent = Clock::now();
-        auto outcome = co_await state_.extend_hold(hold_, 700ms);
+        // A late answer still counts, from when the extension was sent.
+        auto outcome = co_await state_.extend_hold(hold_, timing_.ttl / 2);
         if (!leader_) break;
         if (outcome == Outcome::ok) {
             if (silent_logged) spdlog::info("the state service answers again, the lead goes on");
--- a/src/fleet/renting.cpp
+++ b/src/fleet/renting.cpp
@@ -243,12 +243,7 @@
         }
     };
     std::vector<std::pair<bool, double>> ahead;  // work of arrays that come first: spot or not, CPU seconds
-    double usual_boot = 0, usual_fetch = 10;
-    for (auto& [name, t] : cluster.types()) {
-        if (t.gpus > 0) continue;
-        usual_boot = std::max(usual_boot, t.boot_s);
-        usual_fetch = std::min(usual_fetch, t.fetch_gb_per_s);
-    }
+    const double usual_boot = cluster.usual_boot_s();
     wire::JobSpec headroom;
     std::uint32_t headroom_tasks = 0;
     for (int level = 0; level < wire::priority_levels; ++level)
@@ -264,10 +259,7 @@
                 double time = cluster.time_left(job, now);
                 double left = std::max(run, time);
                 double total = static_cast<double>(n) + static_cast<double>(job.places.size());
-                // A machine rented for it now serves nothing while it boots and fetches the image.
-                double ready = usual_boot + job.spec.image_gb / usual_fetch;
-                double span = std::max(run, left + run - ready);
-                auto slots = static_cast<std::uint32_t>(std::ceil(total * run / span));
+                auto slots = static_cast<std::uint32_t>(std::ceil(total * run / (left + run)));
                 auto running = static_cast<std::uint32_t>(job.places.size());
                 double work = static_cast<double>(n) * run * job.spec.need.cpus;
                 n = std::min(n, slots > running ? slots - running : 0);
