Silence is judged again sooner after a lag; only whole tasks count on machines still booting

Cause of the loss before (reports of rough and apart): after each lag no silence was judged for a report round and more; what came in meanwhile is read in about the time that was lost, so half a second and twice the lag do.

--- a/src/api/leader.cpp
+++ b/src/api/leader.cpp
@@ -510,7 +510,8 @@
         co_await net::sleep_for(200ms);
         auto now = Clock::now();
         if (now - due > 250ms) {
-            auto until = now + secs(1.25 * services_.settings.rules.report_s + 1);
+            // What came in meanwhile stands in its sockets: it is read in about the time that was lost.
+            auto until = now + 500ms + 2 * (now - due);
             if (deaf_until_ < now)
                 spdlog::info("this process is {:.1f} s behind: silence of machines counts for nothing for a while",
                              Seconds(now - due).count());
--- a/src/fleet/renting.cpp
+++ b/src/fleet/renting.cpp
@@ -42,6 +42,7 @@
     double array_cpus = 0;  // CPUs that arrays have or can get
     double committed = 0;   // CPU seconds that running tasks of arrays still need
     double ready_s = 0;
+    double fetch_gb_per_s = 0.1;
 };
 
 // Usual boots take up to 1.5 times the nominal time.
@@ -126,6 +127,7 @@
         b.room = {t.cpus, t.gpus, t.mem_gb};
         b.array_cpus = t.cpus;
         b.ready_s = t.boot_s;
+        b.fetch_gb_per_s = t.fetch_gb_per_s;
         return b;
     };
     // Machines asked for, without an answer yet.
@@ -141,6 +143,7 @@
         b.offer = index_of({m->type, m->zone, m->spot});
         b.room = m->room();
         b.used = m->live() > 0;
+        b.fetch_gb_per_s = m->fetch_gb_per_s;
         for (auto& [a, e] : m->entries)
             if (e.stop && !e.exited()) b.room += e.need;
         b.soft = cluster.preemptible(*m, wire::Priority::production);
@@ -272,7 +275,11 @@
                     for (auto& b : bins) {
                         const Offer& o = offers[b.offer];
                         if (!suits(job.spec, o.type, o.zone, o.spot)) continue;
-                        supply += b.array_cpus * std::max(0.0, by - b.ready_s);
+                        double time_there = by - b.ready_s;
+                        // On a machine that is still to come only whole tasks count, after the fetch.
+                        if (b.ready_s > 0)
+                            time_there = run * std::floor((time_there - job.spec.image_gb / b.fetch_gb_per_s) / run);
+                        supply += b.array_cpus * std::max(0.0, time_there);
                         before += b.committed;
                     }
                     for (auto& [spot_ok, w] : ahead)
