Refused offers are asked for one machine; fewer rental requests stand open

Change: an offer refused last time gets one machine as a question, the rest goes elsewhere; at most one second's worth of requests (three at least) stays open. Tests: Renting.AnOfferThatWasRefused..., Renting.ALargeNeedGoesOutInFewLargeRequests.

--- a/src/api/leader.cpp
+++ b/src/api/leader.cpp
@@ -634,7 +634,7 @@
     for (;;) {
         co_await net::sleep_for(700ms);
         // Requests that the cloud's rate holds back, or that have no answer, are not heaped up.
-        auto most_open = static_cast<std::size_t>(std::max(2.0, 3 * services_.settings.cloud_rps));
+        auto most_open = static_cast<std::size_t>(std::max(3.0, services_.settings.cloud_rps));
         if (!may_act() || open_hires_.size() >= most_open) continue;
         std::vector<fleet::Order> coming;
         for (auto& [request, h] : open_hires_) coming.push_back({{h.type, h.zone, h.spot}, h.count});
--- a/src/fleet/renting.cpp
+++ b/src/fleet/renting.cpp
@@ -168,6 +168,13 @@
         return t != cluster.types().end() && !cluster.gpu_reserved(s, t->second);
     };
     std::map<Offer, int> orders;
+    auto asked_of = [&](const Offer& offer) {
+        int n = 0;
+        if (auto it = orders.find(offer); it != orders.end()) n += it->second;
+        for (auto& order : coming)
+            if (order.offer == offer) n += order.count;
+        return n;
+    };
     std::vector<char> suitable(offers.size());
     std::vector<std::size_t> fitting;
     // Puts n tasks of a shape into bins, renting what is missing. `soft` counts room that can be made. A bin that
@@ -230,6 +237,9 @@
                 wire::Resources whole{t.cpus, t.gpus, t.mem_gb};
                 if (!s.need.fits(whole)) continue;
                 if (refuses(offers[i], now)) continue;
+                // An offer that was refused last time is asked for one machine: the rest of the need must not wait for
+                // a likely refusal while other offers have room.
+                if (auto r = refusals_.find(offers[i]); r != refusals_.end() && asked_of(offers[i]) > 0) continue;
                 double per = 1e9;
                 if (s.need.cpus > 0) per = std::min(per, std::floor(t.cpus / s.need.cpus + 1e-6));
                 if (s.need.gpus > 0) per = std::min(per, std::floor(t.gpus / s.need.gpus + 1e-6));
--- a/tests/renting_test.cpp
+++ b/tests/renting_test.cpp
@@ -41,6 +41,44 @@
     EXPECT_EQ(count(r.plan(*f.cluster, f.now + 60s), true), 1);
 }
 
+// Found on kdh-colombo-grown: the whole need was asked of one refused offer after the other, and machines that were to
+// be had came 20 s later.
+TEST(Renting, AnOfferThatWasRefusedIsAskedForOneMachineAndTheRestGoesElsewhere) {
+    Fleet f;
+    auto s = f.spec("wk-1", 12, 4);
+    s.spot_ok = true;
+    f.add(s);
+    Renting r;
+    ASSERT_GT(count(r.plan(*f.cluster, f.now), true), 2);
+    for (auto type : {"small", "card"})
+        for (auto zone : {"a", "b"}) r.refused({type, zone, true}, f.now);
+    auto plan = r.plan(*f.cluster, f.now + 60s);
+    for (auto& o : plan.rent) EXPECT_TRUE(!o.offer.spot || o.count == 1);
+    EXPECT_GT(count(plan, false), 0);
+    // While that question is open, no other is put.
+    auto later = r.plan(*f.cluster, f.now + 60s, {{{"small", "a", true}, 1}, {{"small", "b", true}, 1}});
+    for (auto& o : later.rent) EXPECT_FALSE(o.offer.spot && o.offer.type == "small");
+}
+
+// Many machines are asked for at once, in requests as large as the cloud takes, the largest first.
+TEST(Renting, ALargeNeedGoesOutInFewLargeRequests) {
+    Fleet f;
+    auto s = f.spec("wk-1", 280, 4);
+    s.sort = wire::Sort::service;
+    f.add(s);
+    auto plan = Renting().plan(*f.cluster, f.now);
+    EXPECT_GE(count(plan, false), 280);
+    for (std::size_t i = 0; i < plan.rent.size(); ++i) {
+        EXPECT_LE(plan.rent[i].count, 50);
+        EXPECT_LE(plan.rent[i].count, plan.rent[i > 0 ? i - 1 : 0].count);
+    }
+    EXPECT_LE(plan.rent.size(), 8u);
+    // What is asked for already is not asked for again.
+    std::vector<fleet::Order> coming;
+    for (auto& o : plan.rent) coming.push_back(o);
+    EXPECT_EQ(count(Renting().plan(*f.cluster, f.now, coming), false), 0);
+}
+
 TEST(Renting, MachinesOnTheirWayAreCounted) {
     Fleet f;
     f.add(f.spec("wk-1", 1, 4));
