What ends before a rented machine could boot needs no renting

Change: 0.7 of the CPUs that running arrays leave within a usual boot are counted as room, in the order of the queue.

--- a/src/fleet/renting.cpp
+++ b/src/fleet/renting.cpp
@@ -46,6 +46,8 @@
 };
 
 // Usual boots take up to 1.5 times the nominal time.
+// Share of the room expected from ending tasks that is counted on: run times are guesses.
+constexpr double relied_on = 0.7;
 constexpr int most_per_request = 50;  // the cloud's bound
 constexpr double late_boot = 1.7, hopeless_boot = 2.5;
 
@@ -119,6 +121,8 @@
     for (auto& [name, t] : cluster.types())
         for (auto& zone : t.zones)
             for (bool spot : {true, false}) index_of({name, zone, spot});
+    const double usual_boot = cluster.usual_boot_s();
+    double turning[2] = {};  // CPUs that arrays leave before a rented machine could be up: ordinary, spot
     std::vector<Bin> bins;
     auto fresh_bin = [&](std::size_t offer) {
         const auto& t = cluster.types().at(offers[offer].type);
@@ -156,7 +160,9 @@
             if (job == cluster.jobs().end() || job->second->spec.sort != Sort::array) continue;
             double ran = e.running == TimePoint{} ? 0 : Seconds(now - e.running).count();
             b.array_cpus += e.need.cpus;
-            b.committed += e.need.cpus * std::max(2.0, job->second->run_guess() - ran);
+            double rest = std::max(2.0, job->second->run_guess() - ran);
+            b.committed += e.need.cpus * rest;
+            if (rest <= usual_boot) turning[m->spot] += relied_on * e.need.cpus;
         }
         bins.push_back(std::move(b));
     }
@@ -256,7 +262,6 @@
         }
     };
     std::vector<std::pair<bool, double>> ahead;  // work of arrays that come first: spot or not, CPU seconds
-    const double usual_boot = cluster.usual_boot_s();
     wire::JobSpec headroom;
     std::uint32_t headroom_tasks = 0;
     for (int level = 0; level < wire::priority_levels; ++level)
@@ -297,6 +302,14 @@
                     if (0.8 * supply >= before + work) n = 0;
                 }
                 ahead.emplace_back(job.spec.spot_ok, work);
+                // Nor does what will find room before a rented machine could be up, in the order of the queue.
+                for (bool spot : {true, false}) {
+                    if (n == 0 || (spot && !job.spec.spot_ok) || job.spec.need.cpus <= 0) continue;
+                    auto k = std::min<std::uint32_t>(
+                        n, static_cast<std::uint32_t>(turning[spot] / job.spec.need.cpus));
+                    n -= k;
+                    turning[spot] -= k * job.spec.need.cpus;
+                }
             }
             cover(&job, job.spec, n,
                   job.spec.priority == wire::Priority::production                                  ? Soft::all
