Progress of running jobs takes a quarter of the write rate at most

A transaction of 32 changes carried about 10 starts and, filling up, the progress of all running jobs: half a second of the state service's rate each. Change: ends and cancellations go at once, progress in its own time. A late job does not count on ending tasks. Tests: Finish.ProgressDoesNotCrowdOutStarts..., Renting.RoomThatEndingTasksLeaveBeforeABootIsCounted.

--- a/src/api/leader.cpp
+++ b/src/api/leader.cpp
@@ -397,17 +397,24 @@
     for (;;) {
         if (!cluster_.has_writes()) co_await write_wake_.wait(1s);
         if (!cluster_.has_writes()) continue;
-        // Finished tasks are written a few times a second; starts go at once.
-        if (!cluster_.has_urgent_writes() && Clock::now() - last_lazy < 250ms) {
+        // Starts go at once. What running jobs have done is written a few times a second, and takes a quarter of the
+        // state service's rate at most: with many jobs it once filled every transaction, and starts waited.
+        auto progress_due = [&] {
+            auto spread = secs(static_cast<double>(cluster_.changed_jobs()) /
+                               std::max(1.0, 0.25 * services_.settings.state_write_rps));
+            return Clock::now() - last_lazy >= std::max<Clock::duration>(250ms, spread);
+        };
+        if (!cluster_.has_urgent_writes() && !progress_due()) {
             co_await write_wake_.wait(60ms);
-            if (!cluster_.has_urgent_writes() && Clock::now() - last_lazy < 250ms) continue;
+            if (!cluster_.has_urgent_writes() && !progress_due()) continue;
         }
         if (!may_act()) {
             co_await net::sleep_for(100ms);
             continue;
         }
-        last_lazy = Clock::now();
-        auto writes = cluster_.take_writes(ops, 48 * 1024, Clock::now());
+        const bool progress = progress_due();
+        if (progress) last_lazy = Clock::now();
+        auto writes = cluster_.take_writes(ops, 48 * 1024, Clock::now(), progress);
         if (writes.empty()) continue;
         std::vector<state::Operation> operations;
         for (auto& w : writes) operations.push_back({w.key, w.value, 0});
--- a/src/fleet/renting.cpp
+++ b/src/fleet/renting.cpp
@@ -302,9 +302,10 @@
                     if (0.8 * supply >= before + work) n = 0;
                 }
                 ahead.emplace_back(job.spec.spot_ok, work);
-                // Nor does what will find room before a rented machine could be up, in the order of the queue.
+                // Nor does what will find room before a rented machine could be up, in the order of the queue. A job
+                // that is late already shows a backlog, which only more machines take away.
                 for (bool spot : {true, false}) {
-                    if (n == 0 || (spot && !job.spec.spot_ok) || job.spec.need.cpus <= 0) continue;
+                    if (n == 0 || time <= 0 || (spot && !job.spec.spot_ok) || job.spec.need.cpus <= 0) continue;
                     auto k = std::min<std::uint32_t>(
                         n, static_cast<std::uint32_t>(turning[spot] / job.spec.need.cpus));
                     n -= k;
--- a/src/placement/cluster.cpp
+++ b/src/placement/cluster.cpp
@@ -882,7 +882,19 @@
 
 // ---- writes --------------------------------------------------------------------------------------------
 
-std::vector<Write> Cluster::take_writes(std::size_t max_ops, std::size_t max_bytes, TimePoint now) {
+bool Cluster::waited_for(const Job& job) {
+    return job.finished() || (job.cancelled && (!job.cancel_durable || job.places.empty()));
+}
+
+bool Cluster::has_urgent_writes() const {
+    return !dirty_machines_.empty() || !queued_.empty() ||
+           std::any_of(dirty_jobs_.begin(), dirty_jobs_.end(), [this](auto& id) {
+               auto it = jobs_.find(id);
+               return it != jobs_.end() && waited_for(*it->second);
+           });
+}
+
+std::vector<Write> Cluster::take_writes(std::size_t max_ops, std::size_t max_bytes, TimePoint now, bool progress) {
     std::vector<Write> out;
     std::size_t bytes = 0;
     auto add = [&](Write w) {
@@ -926,10 +938,14 @@
         };
         add(std::move(w));
     }
-    while (!dirty_jobs_.empty() && out.size() + 3 <= max_ops && bytes < max_bytes) {
-        std::string id = *dirty_jobs_.begin();
-        dirty_jobs_.erase(dirty_jobs_.begin());
+    for (auto it = dirty_jobs_.begin(); it != dirty_jobs_.end() && out.size() + 3 <= max_ops && bytes < max_bytes;) {
+        std::string id = *it;
         Job* job = find_job(id);
+        if (job && !progress && !waited_for(*job)) {
+            ++it;
+            continue;
+        }
+        it = dirty_jobs_.erase(it);
         if (!job) continue;
         job->dirty = false;
         bool over = job->cancelled ? (job->cancel_durable && job->places.empty()) : job->finished();
--- a/src/placement/cluster.hpp
+++ b/src/placement/cluster.hpp
@@ -124,9 +124,11 @@
     bool round(TimePoint now);
 
     // Writes that wait, most urgent first.
-    std::vector<Write> take_writes(std::size_t max_ops, std::size_t max_bytes, TimePoint now);
+    // `progress`: with what running jobs have done; ends and cancellations of jobs go in any case.
+    std::vector<Write> take_writes(std::size_t max_ops, std::size_t max_bytes, TimePoint now, bool progress = true);
+    std::size_t changed_jobs() const { return dirty_jobs_.size(); }
     bool has_writes() const { return !dirty_machines_.empty() || !dirty_jobs_.empty() || !queued_.empty(); }
-    bool has_urgent_writes() const { return !dirty_machines_.empty() || !queued_.empty(); }
+    bool has_urgent_writes() const;
     void write_failed(std::vector<Write> writes);  // not executed, or fenced: to be written again
     void enqueue(Write w) { queued_.push_back(std::move(w)); }
     void mark_machine_dirty(const std::string& name) { dirty_machines_.insert(name); }
@@ -159,6 +161,7 @@
     void set_waiting(Job& job, std::uint32_t index, bool waiting);
     void finish_task(Job& job, std::uint32_t index);
     void mark_dirty(Job& job);
+    static bool waited_for(const Job& job);  // a user waits for its next record: it is over, or cancelled
     // The machines that can take a task of the job, best first.
     std::vector<Machine*> rank(const Job& job, TimePoint now) const;
     static void describe(Entry& e, const Job& job);
--- a/src/state/state_client.cpp
+++ b/src/state/state_client.cpp
@@ -9,7 +9,8 @@
       client_(io, 16),
       // Some is left for the hold, which asks no budget, and for the other nodes.
       requests_(rps * 0.6, rps * 0.3),
-      writes_(write_rps * 0.75, write_rps * 0.5) {}
+      // The others only write what they accept.
+      writes_(write_rps * 0.85, write_rps * 0.5) {}
 
 void StateClient::note(const Reply& reply) {
     // 429 is an answer: the service is there.
--- a/tests/cluster_test.cpp
+++ b/tests/cluster_test.cpp
@@ -137,6 +137,36 @@
     EXPECT_EQ(commands[0].verb, Verb::reap);
 }
 
+// With many running jobs their progress filled every transaction, and starts waited for the state service's rate.
+TEST(Finish, ProgressDoesNotCrowdOutStartsButEndsAndCancellationsGo) {
+    Fleet f;
+    f.up("n-1");
+    auto& half = f.add(f.spec("wk-1", 2));
+    auto& whole = f.add(f.spec("wk-2"));
+    auto& cancelled = f.add(f.spec("wk-3"));
+    f.place_all();
+    f.run("n-1");
+    std::vector<TaskStatus> tasks;
+    for (auto& a : f.on("n-1")) {
+        bool ends = a.task.job == "wk-2" || (a.task.job == "wk-1" && a.task.index == 0);
+        tasks.push_back({a, ends ? TaskState::exited : TaskState::running, ends ? Cause::done : Cause::none, false});
+    }
+    f.cluster->on_report(f.report("n-1", tasks), true, f.now);
+    f.cluster->cancel(cancelled, f.now);
+    EXPECT_EQ(half.done.size(), 1u);
+    EXPECT_TRUE(whole.finished());
+    EXPECT_TRUE(f.cluster->has_urgent_writes());
+    std::set<std::string> keys;
+    for (auto& w : f.cluster->take_writes(100, 1 << 20, f.now, false)) keys.insert(w.key);
+    EXPECT_TRUE(keys.contains("past/wk-2"));
+    EXPECT_TRUE(keys.contains("progress/wk-3"));
+    EXPECT_FALSE(keys.contains("progress/wk-1"));
+    EXPECT_FALSE(f.cluster->has_urgent_writes());
+    keys.clear();
+    for (auto& w : f.cluster->take_writes(100, 1 << 20, f.now)) keys.insert(w.key);
+    EXPECT_TRUE(keys.contains("progress/wk-1"));
+}
+
 TEST(Cancel, AgainstAStartThatWasNotSentYet) {
     Fleet f;
     f.up("n-1");
--- a/tests/renting_test.cpp
+++ b/tests/renting_test.cpp
@@ -79,6 +79,33 @@
     EXPECT_EQ(count(Renting().plan(*f.cluster, f.now, coming), false), 0);
 }
 
+// Machines rented for what ending tasks make room for anyway came up to stand idle. A job that is late gets them.
+TEST(Renting, RoomThatEndingTasksLeaveBeforeABootIsCounted) {
+    placement::Rules rules;
+    rules.teams["crew"] = {};
+    rules.headroom_min = rules.headroom_max = 0;
+    rules.objectives = {{"finished", "batch", 100, 1}};
+    Fleet f(rules);
+    for (auto name : {"n-1", "n-2", "n-3"}) f.up(name);
+    f.add(f.spec("wk-1", 12));
+    f.place_all();
+    for (auto name : {"n-1", "n-2", "n-3"}) f.run(name);
+    auto rented_for = [&](std::uint32_t tasks, Clock::duration waited) {
+        auto s = f.spec("wk-2", tasks);
+        s.estimate_s = 60;  // as long as it may take: a slot for each task
+        auto& job = f.add(s);
+        job.accepted = f.now - waited;
+        int n = count(Renting().plan(*f.cluster, f.now), false);
+        f.cluster->cancel(job, f.now);
+        f.write();
+        f.write();
+        return n;
+    };
+    EXPECT_EQ(rented_for(8, 0s), 0);
+    EXPECT_GT(rented_for(40, 0s), 0);
+    EXPECT_GT(rented_for(8, 60s), 0);
+}
+
 TEST(Renting, MachinesOnTheirWayAreCounted) {
     Fleet f;
     f.add(f.spec("wk-1", 1, 4));
