--- a/src/fleet/renting.cpp
+++ b/src/fleet/renting.cpp
@@ -122,7 +122,8 @@
         for (auto& zone : t.zones)
             for (bool spot : {true, false}) index_of({name, zone, spot});
     const double usual_boot = cluster.usual_boot_s();
-    double turning[2] = {};  // CPUs that arrays leave before a rented machine could be up: ordinary, spot
+    // CPUs that arrays leave before a rented machine could be up, by spot or not and the size of the holes.
+    std::map<std::pair<bool, double>, double> turning;
     std::vector<Bin> bins;
     auto fresh_bin = [&](std::size_t offer) {
         const auto& t = cluster.types().at(offers[offer].type);
@@ -162,7 +163,7 @@
             b.array_cpus += e.need.cpus;
             double rest = std::max(2.0, job->second->run_guess() - ran);
             b.committed += e.need.cpus * rest;
-            if (rest <= usual_boot) turning[m->spot] += relied_on * e.need.cpus;
+            if (rest <= usual_boot) turning[{m->spot, e.need.cpus}] += relied_on * e.need.cpus;
         }
         bins.push_back(std::move(b));
     }
@@ -304,12 +305,15 @@
                 ahead.emplace_back(job.spec.spot_ok, work);
                 // Nor does what will find room before a rented machine could be up, in the order of the queue. A job
                 // that is late already shows a backlog, which only more machines take away.
-                for (bool spot : {true, false}) {
-                    if (n == 0 || time <= 0 || (spot && !job.spec.spot_ok) || job.spec.need.cpus <= 0) continue;
-                    auto k = std::min<std::uint32_t>(
-                        n, static_cast<std::uint32_t>(turning[spot] / job.spec.need.cpus));
+                // Small tasks leave no room for a large one.
+                for (auto& [hole, cpus] : turning) {
+                    const auto& [spot, size] = hole;
+                    if (n == 0 || time <= 0 || (spot && !job.spec.spot_ok) || job.spec.need.cpus <= 0 ||
+                        size < 0.8 * job.spec.need.cpus)
+                        continue;
+                    auto k = std::min<std::uint32_t>(n, static_cast<std::uint32_t>(cpus / job.spec.need.cpus));
                     n -= k;
-                    turning[spot] -= k * job.spec.need.cpus;
+                    cpus -= k * job.spec.need.cpus;
                 }
             }
             cover(&job, job.spec, n,
