--- a/src/api/leader.cpp
+++ b/src/api/leader.cpp
@@ -9,7 +9,8 @@
 using namespace std::chrono_literals;
 
 namespace {
-// Questions to machines beside their reports, at once: a share of what a process with a fraction of a core can do.
+// Questions to machines beside their reports, at once: a share of what a process with a fraction of a core
+// can do.
 constexpr int asked_at_once = 16;
 }  // namespace
 
@@ -96,8 +97,8 @@
                  Seconds(now - begun).count() * 1000, count, machines.items.size(), open_hires_.size());
     // Every known worker hears of the new token at once: that fences the predecessor and brings fresh
     // reports.
-    // Not all at once: a thousand connections took this process's whole share for seconds, the hold was not extended
-    // meanwhile, and the next leader did the same. Machines with replicas first.
+    // Not all at once: a thousand connections took this process's whole share for seconds, the hold was not
+    // extended meanwhile, and the next leader did the same. Machines with replicas first.
     auto names = std::make_shared<std::deque<std::string>>();
     for (auto& [name, m] : cluster_.machines()) {
         m->probed = now;
@@ -397,8 +398,9 @@
     for (;;) {
         if (!cluster_.has_writes()) co_await write_wake_.wait(1s);
         if (!cluster_.has_writes()) continue;
-        // Starts go at once. What running jobs have done is written a few times a second, and takes a quarter of the
-        // state service's rate at most: with many jobs it once filled every transaction, and starts waited.
+        // Starts go at once. What running jobs have done is written a few times a second, and takes a quarter
+        // of the state service's rate at most: with many jobs it once filled every transaction, and starts
+        // waited.
         auto progress_due = [&] {
             auto spread = secs(static_cast<double>(cluster_.changed_jobs()) /
                                std::max(1.0, 0.25 * services_.settings.state_write_rps));
@@ -520,8 +522,9 @@
             // What came in meanwhile stands in its sockets: it is read in about the time that was lost.
             auto until = now + 500ms + 2 * (now - due);
             if (deaf_until_ < now)
-                spdlog::info("this process is {:.1f} s behind: silence of machines counts for nothing for a while",
-                             Seconds(now - due).count());
+                spdlog::info(
+                    "this process is {:.1f} s behind: silence of machines counts for nothing for a while",
+                    Seconds(now - due).count());
             deaf_until_ = std::max(deaf_until_, until);
         }
         if (!may_act()) continue;
@@ -687,8 +690,8 @@
             co_await net::sleep_for(300ms);
             continue;
         }
-        // Another request has shown meanwhile that there is none: a call that can do more is let through instead.
-        // Only a request that was never sent may be dropped.
+        // Another request has shown meanwhile that there is none: a call that can do more is let through
+        // instead. Only a request that was never sent may be dropped.
         if (!asked && renting_.refuses(offer, Clock::now())) break;
         asked = true;
         auto sent = Clock::now();
--- a/src/api/leader.hpp
+++ b/src/api/leader.hpp
@@ -84,7 +84,8 @@
     std::map<std::string, TimePoint> early_answer_;  // leases renewed by then
     std::map<std::string, state::HireRecord> open_hires_;
     TimePoint last_hello_{}, last_direct_{};
-    // Until then this process hears late, having fallen behind itself: silence proves nothing about a machine.
+    // Until then this process hears late, having fallen behind itself: silence proves nothing about a
+    // machine.
     TimePoint deaf_until_{};
     std::deque<TimePoint> given_up_;  // silent machines returned, lately
     std::map<std::string, TimePoint> redirected_;
--- a/src/election/election.cpp
+++ b/src/election/election.cpp
@@ -47,8 +47,9 @@
 
 Task<> Election::follow() {
     auto sent = Clock::now();
-    // Listed rather than read: a listing tells the service's revision. A watch from the key's own version is refused
-    // once 10,000 changes have passed since, and would be asked again at once for as long as that leader leads.
+    // Listed rather than read: a listing tells the service's revision. A watch from the key's own version is
+    // refused once 10,000 changes have passed since, and would be asked again at once for as long as that
+    // leader leads.
     auto listed = co_await state_.list(state::leader_key);
     if (!listed.ok) {
         co_await net::sleep_for(200ms);
--- a/src/fleet/machine.hpp
+++ b/src/fleet/machine.hpp
@@ -74,7 +74,8 @@
     int errors = 0, successes = 0;
     double slowness = 1.0;
     wire::Resources capacity;
-    wire::Resources free, reserved;  // in a placing round: room, and what of it stopped tasks will leave to others
+    wire::Resources free,
+        reserved;  // in a placing round: room, and what of it stopped tasks will leave to others
     double cache_gb = 0, fetch_gb_per_s = 0.1;
     std::unordered_map<wire::Attempt, Entry, wire::AttemptHash> entries;
     std::list<std::pair<std::string, double>> images;  // most recently used first, as far as we can tell
--- a/src/fleet/renting.cpp
+++ b/src/fleet/renting.cpp
@@ -37,7 +37,8 @@
     std::string name;       // empty: not rented yet
     std::size_t offer = 0;  // its sort, as an index
     wire::Resources room;
-    wire::Resources soft, soft_kept;  // that lower work would yield: to production, and to arrays short of time
+    wire::Resources soft,
+        soft_kept;  // that lower work would yield: to production, and to arrays short of time
     bool used = false;
     double array_cpus = 0;  // CPUs that arrays have or can get
     double committed = 0;   // CPU seconds that running tasks of arrays still need
@@ -184,9 +185,9 @@
     };
     std::vector<char> suitable(offers.size());
     std::vector<std::size_t> fitting;
-    // Puts n tasks of a shape into bins, renting what is missing. `soft` counts room that can be made. A bin that
-    // takes a task only becomes the better choice for the next one, so each is filled in turn: one look at every bin
-    // for a job, not one for each of its tasks.
+    // Puts n tasks of a shape into bins, renting what is missing. `soft` counts room that can be made. A bin
+    // that takes a task only becomes the better choice for the next one, so each is filled in turn: one look
+    // at every bin for a job, not one for each of its tasks.
     auto cover = [&](const Job* job, const wire::JobSpec& s, std::uint32_t n, Soft soft) {
         std::map<std::string, std::uint32_t> in_zone;
         if (job && (s.spread || s.one_zone))
@@ -244,9 +245,10 @@
                 wire::Resources whole{t.cpus, t.gpus, t.mem_gb};
                 if (!s.need.fits(whole)) continue;
                 if (refuses(offers[i], now)) continue;
-                // An offer that was refused last time is asked for one machine: the rest of the need must not wait for
-                // a likely refusal while other offers have room.
-                if (auto r = refusals_.find(offers[i]); r != refusals_.end() && asked_of(offers[i]) > 0) continue;
+                // An offer that was refused last time is asked for one machine: the rest of the need must not
+                // wait for a likely refusal while other offers have room.
+                if (auto r = refusals_.find(offers[i]); r != refusals_.end() && asked_of(offers[i]) > 0)
+                    continue;
                 double per = 1e9;
                 if (s.need.cpus > 0) per = std::min(per, std::floor(t.cpus / s.need.cpus + 1e-6));
                 if (s.need.gpus > 0) per = std::min(per, std::floor(t.gpus / s.need.gpus + 1e-6));
@@ -294,7 +296,8 @@
                         double time_there = by - b.ready_s;
                         // On a machine that is still to come only whole tasks count, after the fetch.
                         if (b.ready_s > 0)
-                            time_there = run * std::floor((time_there - job.spec.image_gb / b.fetch_gb_per_s) / run);
+                            time_there =
+                                run * std::floor((time_there - job.spec.image_gb / b.fetch_gb_per_s) / run);
                         supply += b.array_cpus * std::max(0.0, time_there);
                         before += b.committed;
                     }
@@ -303,23 +306,25 @@
                     if (0.8 * supply >= before + work) n = 0;
                 }
                 ahead.emplace_back(job.spec.spot_ok, work);
-                // Nor does what will find room before a rented machine could be up, in the order of the queue. A job
-                // that is late already shows a backlog, which only more machines take away.
+                // Nor does what will find room before a rented machine could be up, in the order of the
+                // queue. A job that is late already shows a backlog, which only more machines take away.
                 // Small tasks leave no room for a large one.
                 for (auto& [hole, cpus] : turning) {
                     const auto& [spot, size] = hole;
                     if (n == 0 || time <= 0 || (spot && !job.spec.spot_ok) || job.spec.need.cpus <= 0 ||
                         size < 0.8 * job.spec.need.cpus)
                         continue;
-                    auto k = std::min<std::uint32_t>(n, static_cast<std::uint32_t>(cpus / job.spec.need.cpus));
+                    auto k =
+                        std::min<std::uint32_t>(n, static_cast<std::uint32_t>(cpus / job.spec.need.cpus));
                     n -= k;
                     cpus -= k * job.spec.need.cpus;
                 }
             }
             cover(&job, job.spec, n,
-                  job.spec.priority == wire::Priority::production                                  ? Soft::all
-                  : job.spec.priority == wire::Priority::normal && cluster.may_preempt(job, now) ? Soft::kept
-                                                                                                 : Soft::none);
+                  job.spec.priority == wire::Priority::production ? Soft::all
+                  : job.spec.priority == wire::Priority::normal && cluster.may_preempt(job, now)
+                      ? Soft::kept
+                      : Soft::none);
         }
     // Room kept for services that may come: what arrived lately within two boot times, at least two tasks.
     while (!service_arrivals_.empty() && now - service_arrivals_.front().first > secs(120))
@@ -338,8 +343,8 @@
                        std::max<double>(cluster.rules().headroom_min, cluster.rules().headroom_max)));
         cover(nullptr, headroom, headroom_tasks, Soft::all);
     }
-    // A request names up to 50 machines and the cloud takes few requests a second: the largest go first, and what the
-    // rate will not take soon is left to a later plan.
+    // A request names up to 50 machines and the cloud takes few requests a second: the largest go first, and
+    // what the rate will not take soon is left to a later plan.
     for (auto& [offer, n] : orders)
         for (int left = n; left > 0; left -= most_per_request)
             out.rent.push_back({offer, std::min(left, most_per_request)});
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -47,7 +47,8 @@
     auto token = asio::redirect_error(asio::use_awaitable, ec);
     bool fresh = !conn;
     if (fresh) {
-        // A fleet of a thousand workers would take all of the process's sockets, and reports could not come in.
+        // A fleet of a thousand workers would take all of the process's sockets, and reports could not come
+        // in.
         for (const auto end = now + deadline; open_ >= most_open_;) {
             close_oldest_idle();
             if (open_ < most_open_) break;
--- a/src/net/http_client.hpp
+++ b/src/net/http_client.hpp
@@ -24,8 +24,8 @@
 
 class HttpClient {
   public:
-    // `most_open` bounds all its connections: idle ones are closed for new ones, oldest first, and a call beyond that
-    // waits its turn.
+    // `most_open` bounds all its connections: idle ones are closed for new ones, oldest first, and a call
+    // beyond that waits its turn.
     HttpClient(asio::io_context& io, std::size_t idle_per_peer = 4, std::size_t most_open = 10'000)
         : io_(io), idle_per_peer_(idle_per_peer), most_open_(std::max<std::size_t>(1, most_open)) {}
     Task<Reply> call(std::string address, http::verb method, std::string target, std::optional<Json> body,
--- a/src/placement/cluster.cpp
+++ b/src/placement/cluster.cpp
@@ -529,9 +529,9 @@
     e.saves = job.spec.checkpoint_s > 0;
 }
 
-// A machine that takes a task only becomes the better choice for the next one of the same job (a tighter fit, its image
-// under way), and no other machine changes. So the order holds for all of its tasks, and filling the machines in turn
-// gives what a search for each task would give.
+// A machine that takes a task only becomes the better choice for the next one of the same job (a tighter fit,
+// its image under way), and no other machine changes. So the order holds for all of its tasks, and filling
+// the machines in turn gives what a search for each task would give.
 std::vector<Machine*> Cluster::rank(const Job& job, TimePoint now) const {
     std::vector<std::pair<double, Machine*>> scored;
     const auto& s = job.spec;
@@ -694,8 +694,10 @@
         Machine& m = *mp;
         if (out.tasks >= tasks) return out;
         bool lower = false;
-        for (auto& [a, e] : m.entries) lower |= !e.exited() && (e.stop || (e.may_yield && e.level > job.spec.priority));
-        if (!lower || !usable(m, now) || !allowed(job.spec, m) || !zone_ok(job, m.zone) || m.slowness > 1.8) continue;
+        for (auto& [a, e] : m.entries)
+            lower |= !e.exited() && (e.stop || (e.may_yield && e.level > job.spec.priority));
+        if (!lower || !usable(m, now) || !allowed(job.spec, m) || !zone_ok(job, m.zone) || m.slowness > 1.8)
+            continue;
         if (with_image && !m.has_image(job.spec.image)) continue;
         wire::Resources room = coming(m);
         if (need.fits(room)) {
@@ -704,7 +706,9 @@
         }
         Plan plan{&m, {}, m.has_image(job.spec.image) ? 0 : 10 * job.spec.image_gb / m.fetch_gb_per_s};
         for (auto& [a, e] : m.entries) {
-            if (e.exited() || e.stop || !e.may_yield || e.level <= job.spec.priority || (kept_only && !e.saves)) continue;
+            if (e.exited() || e.stop || !e.may_yield || e.level <= job.spec.priority ||
+                (kept_only && !e.saves))
+                continue;
             Job* other = find_job(a.task.job);
             if (!other || (other->spec.sort == Sort::gang && other->spec.tasks > 1)) continue;
             double ran = e.running == TimePoint{} ? 0 : Seconds(now - e.running).count();
@@ -732,8 +736,8 @@
             // Saving comes first unless users would wait for it: a replica is late, or would be.
             bool hurry =
                 job.spec.sort == Sort::service && other && start_slack(job, now) < other->spec.save_s + 1;
-            note_stop(*plan.machine, v.a, plan.machine->entries.at(v.a), other && !hurry ? grace_for(*other) : 0, now,
-                      "preempted");
+            note_stop(*plan.machine, v.a, plan.machine->entries.at(v.a),
+                      other && !hurry ? grace_for(*other) : 0, now, "preempted");
             ++stopped;
         }
         out.stopped = true;
@@ -894,7 +898,8 @@
            });
 }
 
-std::vector<Write> Cluster::take_writes(std::size_t max_ops, std::size_t max_bytes, TimePoint now, bool progress) {
+std::vector<Write> Cluster::take_writes(std::size_t max_ops, std::size_t max_bytes, TimePoint now,
+                                        bool progress) {
     std::vector<Write> out;
     std::size_t bytes = 0;
     auto add = [&](Write w) {
@@ -938,7 +943,8 @@
         };
         add(std::move(w));
     }
-    for (auto it = dirty_jobs_.begin(); it != dirty_jobs_.end() && out.size() + 3 <= max_ops && bytes < max_bytes;) {
+    for (auto it = dirty_jobs_.begin();
+         it != dirty_jobs_.end() && out.size() + 3 <= max_ops && bytes < max_bytes;) {
         std::string id = *it;
         Job* job = find_job(id);
         if (job && !progress && !waited_for(*job)) {
--- a/src/placement/cluster.hpp
+++ b/src/placement/cluster.hpp
@@ -125,7 +125,8 @@
 
     // Writes that wait, most urgent first.
     // `progress`: with what running jobs have done; ends and cancellations of jobs go in any case.
-    std::vector<Write> take_writes(std::size_t max_ops, std::size_t max_bytes, TimePoint now, bool progress = true);
+    std::vector<Write> take_writes(std::size_t max_ops, std::size_t max_bytes, TimePoint now,
+                                   bool progress = true);
     std::size_t changed_jobs() const { return dirty_jobs_.size(); }
     bool has_writes() const { return !dirty_machines_.empty() || !dirty_jobs_.empty() || !queued_.empty(); }
     bool has_urgent_writes() const;
@@ -147,8 +148,8 @@
     wire::Resources preemptible(const Machine& m, wire::Priority level, bool kept = false) const;
     // Time within which the job's tasks should all have been started, from now.
     double time_left(const Job& job, TimePoint now) const;
-    // Whether a job may stop lower work: always at the upper levels; below, an array that would be late if it waited
-    // for a machine to boot, and only work that saves.
+    // Whether a job may stop lower work: always at the upper levels; below, an array that would be late if it
+    // waited for a machine to boot, and only work that saves.
     bool may_preempt(const Job& job, TimePoint now) const;
     double usual_boot_s() const;
     bool runs_service(const Machine& m) const;
--- a/src/state/state_client.cpp
+++ b/src/state/state_client.cpp
@@ -89,8 +89,8 @@
 }
 
 Task<std::optional<Snapshot>> StateClient::snapshot() {
-    // One pass from the beginning: parts of different passes do not belong together. Machines whose jobs are missing
-    // would make running tasks look like waiting ones.
+    // One pass from the beginning: parts of different passes do not belong together. Machines whose jobs are
+    // missing would make running tasks look like waiting ones.
     Snapshot out;
     for (auto [part, prefix] : {std::pair{&out.jobs, "jobs/"}, std::pair{&out.progress, "progress/"},
                                 std::pair{&out.machines, "machines/"}, std::pair{&out.hires, "hires/"}}) {
@@ -119,7 +119,8 @@
         if (pace == Pace::budgeted && wait > Clock::duration::zero()) co_await net::sleep_for(wait);
     }
     Json body{{"if", std::move(conds)}, {"then", std::move(ops)}};
-    auto reply = co_await call(verb::post, "/multi", std::move(body), deadline, pace == Pace::budgeted ? 1 : 0);
+    auto reply =
+        co_await call(verb::post, "/multi", std::move(body), deadline, pace == Pace::budgeted ? 1 : 0);
     TxnResult out;
     out.outcome = outcome_of(reply);
     if (out.outcome == Outcome::absent) out.outcome = Outcome::refused;
--- a/tests/cluster_test.cpp
+++ b/tests/cluster_test.cpp
@@ -137,7 +137,8 @@
     EXPECT_EQ(commands[0].verb, Verb::reap);
 }
 
-// With many running jobs their progress filled every transaction, and starts waited for the state service's rate.
+// With many running jobs their progress filled every transaction, and starts waited for the state service's
+// rate.
 TEST(Finish, ProgressDoesNotCrowdOutStartsButEndsAndCancellationsGo) {
     Fleet f;
     f.up("n-1");
@@ -149,7 +150,8 @@
     std::vector<TaskStatus> tasks;
     for (auto& a : f.on("n-1")) {
         bool ends = a.task.job == "wk-2" || (a.task.job == "wk-1" && a.task.index == 0);
-        tasks.push_back({a, ends ? TaskState::exited : TaskState::running, ends ? Cause::done : Cause::none, false});
+        tasks.push_back(
+            {a, ends ? TaskState::exited : TaskState::running, ends ? Cause::done : Cause::none, false});
     }
     f.cluster->on_report(f.report("n-1", tasks), true, f.now);
     f.cluster->cancel(cancelled, f.now);
--- a/tests/peers_test.cpp
+++ b/tests/peers_test.cpp
@@ -24,8 +24,8 @@
     std::string address() const { return "127.0.0.1:" + std::to_string(acceptor.local_endpoint().port()); }
     void answer(int status, const wire::Json& body) {
         auto b = wire::encode(body);
-        reply = "HTTP/1.1 " + std::to_string(status) + " x\r\nConnection: close\r\nContent-Length: " + std::to_string(b.size()) +
-                "\r\n\r\n" + b;
+        reply = "HTTP/1.1 " + std::to_string(status) +
+                " x\r\nConnection: close\r\nContent-Length: " + std::to_string(b.size()) + "\r\n\r\n" + b;
     }
     template <class T>
     T play(std::function<net::Task<T>()> call) {
@@ -88,15 +88,16 @@
     EXPECT_EQ(result.revision, 12u);
 }
 
-// Found on a day of bdps-manila-grown: a takeover whose reads failed one after the other put together parts of different
-// passes, machines without their jobs, and started hundreds of running tasks a second time.
+// Found on a day of bdps-manila-grown: a takeover whose reads failed one after the other put together parts
+// of different passes, machines without their jobs, and started hundreds of running tasks a second time.
 TEST(StateClient, ASnapshotIsReadInOnePassOrNotAtAll) {
     Scripted service;
     int calls = 0;
     service.asked = [&](const std::string& target) {
         bool fail = (calls == 3 && target.find("hires") != std::string::npos) || calls == 4;
         ++calls;
-        service.answer(fail ? 503 : 200, {{"entries", wire::Json::array()}, {"truncated", false}, {"ledger", 7}});
+        service.answer(fail ? 503 : 200,
+                       {{"entries", wire::Json::array()}, {"truncated", false}, {"ledger", 7}});
     };
     state::StateClient client(service.io, service.address(), 1000, 1000);
     std::vector<bool> got;
@@ -131,8 +132,8 @@
     };
     std::vector<std::unique_ptr<tcp::acceptor>> peers;
     for (int i = 0; i < 6; ++i) {
-        peers.push_back(std::make_unique<tcp::acceptor>(
-            io, tcp::endpoint(net::asio::ip::make_address("127.0.0.1"), 0)));
+        peers.push_back(
+            std::make_unique<tcp::acceptor>(io, tcp::endpoint(net::asio::ip::make_address("127.0.0.1"), 0)));
         net::asio::co_spawn(io, serve(*peers.back()), net::asio::detached);
     }
     net::HttpClient client(io, 1, 2);
@@ -153,7 +154,8 @@
     EXPECT_LE(most_open, 2u);
 }
 
-// A user's submission must not stand behind the leader's own writes, which wait for seconds while the fleet is busy.
+// A user's submission must not stand behind the leader's own writes, which wait for seconds while the fleet
+// is busy.
 TEST(StateClient, AnAcceptanceDoesNotWaitForTheBudgetButIsChargedToIt) {
     Scripted peer;
     peer.answer(200, {{"ledger", 12}});
@@ -189,8 +191,8 @@
     EXPECT_EQ(look(silent), Outcome::unknown);
 }
 
-// Found on a grown deployment: 10,000 changes after the election, every watch from the leader key's own version was
-// refused as too old, and the followers asked again without a pause: 50 requests a second each.
+// Found on a grown deployment: 10,000 changes after the election, every watch from the leader key's own
+// version was refused as too old, and the followers asked again without a pause: 50 requests a second each.
 TEST(Election, AFollowerOfAnOldLeaderKeyDoesNotAskWithoutEnd) {
     Scripted service;
     int requests = 0;
--- a/tests/renting_test.cpp
+++ b/tests/renting_test.cpp
@@ -41,8 +41,8 @@
     EXPECT_EQ(count(r.plan(*f.cluster, f.now + 60s), true), 1);
 }
 
-// Found on kdh-colombo-grown: the whole need was asked of one refused offer after the other, and machines that were to
-// be had came 20 s later.
+// Found on kdh-colombo-grown: the whole need was asked of one refused offer after the other, and machines
+// that were to be had came 20 s later.
 TEST(Renting, AnOfferThatWasRefusedIsAskedForOneMachineAndTheRestGoesElsewhere) {
     Fleet f;
     auto s = f.spec("wk-1", 12, 4);
@@ -79,7 +79,8 @@
     EXPECT_EQ(count(Renting().plan(*f.cluster, f.now, coming), false), 0);
 }
 
-// Machines rented for what ending tasks make room for anyway came up to stand idle. A job that is late gets them.
+// Machines rented for what ending tasks make room for anyway came up to stand idle. A job that is late gets
+// them.
 TEST(Renting, RoomThatEndingTasksLeaveBeforeABootIsCounted) {
     placement::Rules rules;
     rules.teams["crew"] = {};
