Repeated pieces made one, dead state removed; behaviour as before

Read over: four places put an attempt on a machine in their own words (now Cluster::occupy), four computed the room that is not reserved (Machine::unreserved); every submission built a whole Cluster to ask whether its job fits a type (now a function over the catalog); two members of a term and a parameter were written and never read; a bound could not bind.

--- a/src/api/leader.cpp
+++ b/src/api/leader.cpp
@@ -116,7 +116,7 @@
     spawn("cloud types", cloud_types());
     spawn("cloud list", cloud_list());
     spawn("cloud rent", cloud_rent());
-    for (auto& [request, hire] : open_hires_) spawn("rent " + request, rent_one(request, hire, false));
+    for (auto& [request, hire] : open_hires_) spawn("rent " + request, rent_one(request, hire, true));
 }
 
 Task<> Leader::fence_known(std::shared_ptr<std::deque<std::string>> names) {
@@ -232,7 +232,7 @@
 
 // ---- workers -------------------------------------------------------------------------------------------
 
-Task<Response> Leader::hello(wire::Report report, bool direct) {
+Task<Response> Leader::hello(wire::Report report) {
     auto self = shared_from_this();
     const Response not_entitled{503, {{"error", "not entitled to act"}}};
     if (!may_act()) co_return not_entitled;
@@ -247,10 +247,6 @@
             it->second = report;
         co_return Response{200, wire::report_answer(token, {})};
     }
-    if (direct) {
-        last_direct_ = now;
-        redirected_.erase(report.machine);
-    }
     cluster_.lead(token, acquired_);
     bool newer = cluster_.on_report(report, true, now);
     auto* m = cluster_.find_machine(report.machine);
@@ -506,7 +502,7 @@
     // the rest of the fleet and the state service must have been heard just now.
     if (!out.empty()) {
         auto window = secs(std::max(1.2, 0.5 * rules.report_s));
-        if (!fleet::hears_the_fleet(recent(now, window), known - std::min(known, quiet)) ||
+        if (!fleet::hears_the_fleet(recent(now, window), known - quiet) ||
             now - services_.state.last_ok() > 1500ms)
             out.clear();
     }
@@ -674,16 +670,15 @@
             auto self = shared_from_this();
             cluster_.enqueue({state::hire_key(request), state::to_json(hire), [self, request, hire] {
                                   if (!self->stopped_)
-                                      self->spawn("rent " + request, self->rent_one(request, hire, true));
+                                      self->spawn("rent " + request, self->rent_one(request, hire, false));
                               }});
         }
         write_wake_.wake();
     }
 }
 
-Task<> Leader::rent_one(std::string request, state::HireRecord hire, bool first) {
+Task<> Leader::rent_one(std::string request, state::HireRecord hire, bool asked) {
     fleet::Offer offer{hire.type, hire.zone, hire.spot};
-    bool asked = !first;
     for (;;) {
         co_await services_.cloud.turn();
         if (!may_act()) {
--- a/src/api/leader.hpp
+++ b/src/api/leader.hpp
@@ -38,8 +38,8 @@
 
     bool loaded() const { return loaded_; }
     bool may_act() const { return !stopped_ && services_.election.leading(Clock::now()); }
-    // A worker's report, at this node or by way of another; `direct` tells which.
-    Task<Response> hello(wire::Report report, bool direct);
+    // A worker's report, at this node or by way of another.
+    Task<Response> hello(wire::Report report);
     // The state of a job if this leader knows it.
     std::optional<wire::JobStatus> status(const std::string& id) const;
     Task<Response> cancel(std::string id);
@@ -58,7 +58,8 @@
     Task<> cloud_types();
     Task<> cloud_list();
     Task<> cloud_rent();
-    Task<> rent_one(std::string request, state::HireRecord hire, bool first);
+    Task<> rent_one(std::string request, state::HireRecord hire,
+                    bool asked);  // asked: it may have been sent before
     Task<> give_back(std::vector<std::string> names, bool proof);
     Task<> push(std::string machine, bool fence);
     Task<> probe(std::string machine);
@@ -83,12 +84,11 @@
     std::map<std::string, wire::Report> early_;      // reports before the records were read
     std::map<std::string, TimePoint> early_answer_;  // leases renewed by then
     std::map<std::string, state::HireRecord> open_hires_;
-    TimePoint last_hello_{}, last_direct_{};
+    TimePoint last_hello_{};
     // Until then this process hears late, having fallen behind itself: silence proves nothing about a
     // machine.
     TimePoint deaf_until_{};
     std::deque<TimePoint> given_up_;  // silent machines returned, lately
-    std::map<std::string, TimePoint> redirected_;
     std::set<std::string> returned_;  // still listed for a while
 };
 
--- a/src/api/node.cpp
+++ b/src/api/node.cpp
@@ -140,7 +140,7 @@
         if (!report) co_return problem(400, "malformed");
         auto kept = leader_;
         if (!leader()) co_return problem(503, "not entitled to act");
-        co_return co_await kept->hello(std::move(*report), false);
+        co_return co_await kept->hello(std::move(*report));
     }
     if (target == "/peer/status" || target == "/peer/cancel" || target == "/peer/accepted") {
         auto id = wire::text(*body, "id").value_or("");
@@ -291,9 +291,8 @@
     if (status == 0 && catalog_.empty()) {
         status = 503, refusal = "the machine types are not known yet";
     } else if (status == 0) {
-        placement::Cluster check(settings_.rules);
-        check.set_types(catalog_);
-        if (!check.fits_some_type(spec)) status = 422, refusal = "a task fits no allowed machine type";
+        if (!placement::fits_some_type(spec, catalog_))
+            status = 422, refusal = "a task fits no allowed machine type";
     }
     if (status == 0) {
         bool admitted = true;
@@ -381,7 +380,7 @@
     if (leader_) {
         auto kept = leader_;
         if (!kept->may_act()) co_return problem(503, "not entitled to act");
-        co_return co_await kept->hello(std::move(*report), true);
+        co_return co_await kept->hello(std::move(*report));
     }
     // Sent to the leader; one that comes back soon could not reach it, and is served by way of this node.
     auto now = Clock::now();
--- a/src/fleet/machine.hpp
+++ b/src/fleet/machine.hpp
@@ -74,12 +74,17 @@
     int errors = 0, successes = 0;
     double slowness = 1.0;
     wire::Resources capacity;
-    wire::Resources free,
-        reserved;  // in a placing round: room, and what of it stopped tasks will leave to others
+    // In a placing round: room, and what of it is kept for tasks that lower work was stopped for.
+    wire::Resources free, reserved;
     double cache_gb = 0, fetch_gb_per_s = 0.1;
     std::unordered_map<wire::Attempt, Entry, wire::AttemptHash> entries;
     std::list<std::pair<std::string, double>> images;  // most recently used first, as far as we can tell
 
+    wire::Resources unreserved() const {
+        auto r = free;
+        r -= reserved;
+        return r;
+    }
     wire::Resources room() const;  // capacity less all that may be there
     bool has_image(const std::string& image) const;
     bool fetching(const std::string& image) const { return fetching_.contains(image); }
--- a/src/fleet/renting.cpp
+++ b/src/fleet/renting.cpp
@@ -37,8 +37,8 @@
     std::string name;       // empty: not rented yet
     std::size_t offer = 0;  // its sort, as an index
     wire::Resources room;
-    wire::Resources soft,
-        soft_kept;  // that lower work would yield: to production, and to arrays short of time
+    // That lower work would yield: to production, and to arrays short of time.
+    wire::Resources soft, soft_kept;
     bool used = false;
     double array_cpus = 0;  // CPUs that arrays have or can get
     double committed = 0;   // CPU seconds that running tasks of arrays still need
--- a/src/placement/cluster.cpp
+++ b/src/placement/cluster.cpp
@@ -23,6 +23,16 @@
     return places.empty() ? wire::Standing::queued : wire::Standing::running;
 }
 
+bool fits_some_type(const wire::JobSpec& spec, const std::vector<wire::MachineType>& types) {
+    for (auto& t : types) {
+        if (spec.types && std::find(spec.types->begin(), spec.types->end(), t.name) == spec.types->end())
+            continue;
+        if (spec.zone && std::find(t.zones.begin(), t.zones.end(), *spec.zone) == t.zones.end()) continue;
+        if (spec.need.fits({t.cpus, t.gpus, t.mem_gb})) return true;
+    }
+    return false;
+}
+
 void Cluster::set_types(std::vector<wire::MachineType> types) {
     for (auto& t : types) types_[t.name] = t;
     for (auto& [name, m] : machines_) {
@@ -69,9 +79,7 @@
     for (auto& [name, m] : machines_)
         for (auto& [a, e] : m->entries)
             if (a.task.job == job.spec.id && a.task.index < job.spec.tasks && !e.exited()) {
-                describe(e, job);
-                job.places[a.task.index].emplace_back(name, a.number);
-                set_waiting(job, a.task.index, false);
+                occupy(job, a, e, name);
             }
     if (job.cancelled || job.finished()) mark_dirty(job);
     return job;
@@ -176,9 +184,7 @@
         e.since = now;
         Job* job = find_job(a.task.job);
         if (job) {
-            describe(e, *job);
-            job->places[a.task.index].emplace_back(name, a.number);
-            set_waiting(*job, a.task.index, false);
+            occupy(*job, a, e, name);
             if (job->cancelled) e.stop = true;
         } else {
             e.stop = true;
@@ -254,11 +260,7 @@
                 auto it = m.entries.find(c.attempt);
                 if (it == m.entries.end()) break;
                 if (!job) break;
-                describe(it->second, *job);
-                auto& list = job->places[index];
-                std::pair<std::string, std::uint64_t> here{m.name, c.attempt.number};
-                if (std::find(list.begin(), list.end(), here) == list.end()) list.push_back(here);
-                set_waiting(*job, index, false);
+                occupy(*job, c.attempt, it->second, m.name);
                 break;
             }
             case Change::started:
@@ -487,16 +489,6 @@
     return true;
 }
 
-bool Cluster::fits_some_type(const wire::JobSpec& spec) const {
-    for (auto& [name, t] : types_) {
-        if (spec.types && std::find(spec.types->begin(), spec.types->end(), name) == spec.types->end())
-            continue;
-        if (spec.zone && std::find(t.zones.begin(), t.zones.end(), *spec.zone) == t.zones.end()) continue;
-        if (spec.need.fits({t.cpus, t.gpus, t.mem_gb})) return true;
-    }
-    return false;
-}
-
 bool Cluster::zone_ok(const Job& job, const std::string& zone) const {
     if (!job.spec.spread && !job.spec.one_zone) return true;
     std::uint32_t here = 0, elsewhere = 0;
@@ -522,11 +514,16 @@
     return true;
 }
 
-void Cluster::describe(Entry& e, const Job& job) {
+// An attempt that may be on a machine: its task does not wait any more, and the entry knows what it is.
+void Cluster::occupy(Job& job, const Attempt& a, Entry& e, const std::string& machine) {
     e.need = job.spec.need;
     e.level = job.spec.priority;
     e.may_yield = job.spec.sort != Sort::service;
     e.saves = job.spec.checkpoint_s > 0;
+    auto& list = job.places[a.task.index];
+    std::pair here{machine, a.number};
+    if (std::find(list.begin(), list.end(), here) == list.end()) list.push_back(std::move(here));
+    set_waiting(job, a.task.index, false);
 }
 
 // A machine that takes a task only becomes the better choice for the next one of the same job (a tighter fit,
@@ -537,8 +534,7 @@
     const auto& s = job.spec;
     for (auto& [name, mp] : machines_) {
         Machine& m = *mp;
-        wire::Resources room = m.free;
-        room -= m.reserved;
+        wire::Resources room = m.unreserved();
         if (!s.need.fits(room) || !usable(m, now) || !allowed(s, m)) continue;
         double score = 0;
         double fetch_s = m.has_image(s.image)  ? 0
@@ -564,13 +560,11 @@
     Attempt a{{job.spec.id, index}, attempt};
     Entry e;
     e.since = now;
-    describe(e, job);
+    occupy(job, a, e, m.name);
     m.entries.emplace(a, e);
     m.free -= e.need;
     m.idle_since = now;
     if (!m.has_image(job.spec.image)) m.note_fetch(job.spec.image, job.spec.image_gb);
-    job.places[index].emplace_back(m.name, attempt);
-    set_waiting(job, index, false);
     usage_[job.spec.team] += job.spec.need;
     mark_machine_dirty(m.name);
     spdlog::debug("place {} attempt {} on {}, image {}, {:.2f} s after it was accepted", a.task.str(),
@@ -601,8 +595,7 @@
                 if (!zone.empty() && m.zone != zone) continue;
                 if (!usable(m, now) || !allowed(job.spec, m) || m.slowness > 1.8) continue;
                 if (job.spec.spread && in_zone[m.zone] + 1 > (job.spec.tasks + 1) / 2) continue;
-                wire::Resources room = m.free;
-                room -= m.reserved;
+                wire::Resources room = m.unreserved();
                 if (auto t = taken.find(name); t != taken.end()) room -= t->second;
                 if (!job.spec.need.fits(room)) continue;
                 double score = (m.has_image(job.spec.image) ? 0 : -job.spec.image_gb / m.fetch_gb_per_s) -
@@ -676,8 +669,7 @@
         double cost = 0;
     };
     auto coming = [&](Machine& m) {  // what will be free once the stopped tasks are out
-        wire::Resources room = m.free;
-        room -= m.reserved;
+        wire::Resources room = m.unreserved();
         for (auto& [a, e] : m.entries)
             if (e.stop && !e.exited()) room += e.need;
         return room;
@@ -803,9 +795,8 @@
             std::size_t at = 0;
             auto choose = [&]() -> Machine* {
                 for (; at < ranked.size(); ++at) {
-                    wire::Resources room = ranked[at]->free;
-                    room -= ranked[at]->reserved;
-                    if (s.need.fits(room) && zone_ok(*job, ranked[at]->zone)) return ranked[at];
+                    if (s.need.fits(ranked[at]->unreserved()) && zone_ok(*job, ranked[at]->zone))
+                        return ranked[at];
                 }
                 return nullptr;
             };
--- a/src/placement/cluster.hpp
+++ b/src/placement/cluster.hpp
@@ -66,6 +66,9 @@
     double run_guess() const { return runs >= 2 ? run_sum / runs : std::max(1.0, spec.estimate_s); }
 };
 
+// Whether a task could ever run on one of the types.
+bool fits_some_type(const wire::JobSpec& spec, const std::vector<wire::MachineType>& types);
+
 // What one transaction carries, and what follows once it is durable.
 struct Write {
     std::string key;
@@ -139,7 +142,6 @@
     bool allowed(const wire::JobSpec& spec, const Machine& m) const;
     bool zone_ok(const Job& job, const std::string& zone) const;
     bool unsettled(TimePoint now) const;  // a push without an answer is older than a while
-    bool fits_some_type(const wire::JobSpec& spec) const;
     bool gpu_reserved(const wire::JobSpec& spec, const wire::MachineType& t) const;
     std::set<std::string> take_touched() {
         return std::exchange(touched_, {});
@@ -165,7 +167,7 @@
     static bool waited_for(const Job& job);  // a user waits for its next record: it is over, or cancelled
     // The machines that can take a task of the job, best first.
     std::vector<Machine*> rank(const Job& job, TimePoint now) const;
-    static void describe(Entry& e, const Job& job);
+    void occupy(Job& job, const Attempt& a, Entry& e, const std::string& machine);
     void drop_unsent(Machine& m);
     void place(Job& job, std::uint32_t index, Machine& m, std::uint64_t attempt, TimePoint now);
     bool place_gang(Job& job, TimePoint now);
