Starts stand on shared records: few changes of state for hundreds of machines

Changed: machines share records ("sheets", filled to a third of value_kb). A round costs one change a sheet. What is in no hurry (machines gone, addresses) goes with the next progress. Sheets with starts of the highest level go first. A sheet that grew too large gives half away, and is not written before the other part is on record. A record that cannot be read holds all starts for a lease.

--- a/src/api/leader.cpp
+++ b/src/api/leader.cpp
@@ -49,7 +49,7 @@
         spdlog::warn("the records could not be read, once more");
         co_await net::sleep_for(200ms);
     }
-    const auto& [jobs, progress, machines, hires] = *read;
+    const auto& [jobs, progress, sheets, hires] = *read;
     watch_from_ = jobs.revision;
     if (services_.catalog.empty()) {
         auto catalog = co_await services_.state.get(state::catalog_key);
@@ -76,13 +76,15 @@
         cluster_.add_job(*record, done ? &*done : nullptr, now, wall);
         ++count;
     }
-    for (auto& item : machines.items) {
-        auto record = state::parse_machine(item.value);
-        if (!record) {
-            spdlog::error("the record {} cannot be read", item.key);
+    for (auto& item : sheets.items) {
+        auto number = state::parse_sheet_key(item.key);
+        auto records = state::parse_sheet(item.value);
+        if (!number || !records) {
+            spdlog::error("the record {} cannot be read: nothing is started for a lease", item.key);
+            cluster_.distrust_records(acquired_ + longer(secs(services_.settings.rules.lease_s)));
             continue;
         }
-        cluster_.inherit(item.key.substr(9), *record, acquired_, wall);
+        for (auto& record : *records) cluster_.inherit(*number, record, acquired_, wall);
     }
     for (auto& item : hires.items)
         if (auto hire = state::parse_hire(item.value)) open_hires_[item.key.substr(6)] = *hire;
@@ -94,7 +96,7 @@
     loaded_ = true;
     last_hello_ = now;
     spdlog::info("took over after {:.0f} ms: {} active jobs, {} machines on record, {} rentals open",
-                 Seconds(now - begun).count() * 1000, count, machines.items.size(), open_hires_.size());
+                 Seconds(now - begun).count() * 1000, count, cluster_.machines().size(), open_hires_.size());
     // Every known worker hears of the new token at once: that fences the predecessor and brings fresh
     // reports.
     // Not all at once: a thousand connections took this process's whole share for seconds, the hold was not
@@ -398,7 +400,7 @@
         // of the state service's rate at most: with many jobs it once filled every transaction, and starts
         // waited.
         auto progress_due = [&] {
-            auto spread = secs(static_cast<double>(cluster_.changed_jobs()) /
+            auto spread = secs(static_cast<double>(cluster_.changes()) /
                                std::max(1.0, 0.25 * services_.settings.state_write_rps));
             return Clock::now() - last_lazy >= std::max<Clock::duration>(250ms, spread);
         };
@@ -412,7 +414,7 @@
         }
         const bool progress = progress_due();
         if (progress) last_lazy = Clock::now();
-        auto writes = cluster_.take_writes(ops, 48 * 1024, Clock::now(), progress);
+        auto writes = cluster_.take_writes(ops, 48 * 1024, Clock::now(), wall_ms(), progress);
         if (writes.empty()) continue;
         std::vector<state::Operation> operations;
         for (auto& w : writes) operations.push_back({w.key, w.value, 0});
--- a/src/placement/cluster.cpp
+++ b/src/placement/cluster.cpp
@@ -8,6 +8,7 @@
 namespace barrowrun::placement {
 using fleet::Change;
 using wire::Cause;
+using wire::Json;
 using wire::Priority;
 using wire::Sort;
 using wire::TaskState;
@@ -15,6 +16,10 @@
 namespace {
 // Bounds the time of a round and what its starts put into the line of writes; the next round follows at once.
 constexpr std::size_t most_starts_a_round = 400;
+
+std::size_t text_size(const wire::Json& value) {
+    return value.dump(-1, ' ', false, wire::Json::error_handler_t::replace).size();
+}
 }  // namespace
 
 wire::Standing Job::standing() const {
@@ -171,10 +176,12 @@
     return m;
 }
 
-void Cluster::inherit(const std::string& name, const state::MachineRecord& record, TimePoint now,
+void Cluster::inherit(std::uint32_t sheet, const state::MachineRecord& record, TimePoint now,
                       std::int64_t wall_ms) {
+    const auto& name = record.name;
+    sheets_.inherit(sheet, name);
     Machine& m = add_machine(name, record.type, record.zone, record.spot, now);
-    m.address = record.address;
+    if (!record.address.empty()) m.address = record.address;
     if (record.rented_ms)
         m.rented = now - std::chrono::milliseconds(
                              std::clamp<std::int64_t>(wall_ms - record.rented_ms, 0, 86'400'000));
@@ -205,8 +212,8 @@
     else
         spdlog::info("machine {} is gone ({})", name, proof);
     apply(m, changes, now);
-    enqueue({state::machine_key(name), std::nullopt, {}});
-    dirty_machines_.erase(name);
+    // In no hurry: a record may name what is gone, never the other way round.
+    sheets_.remove(name);
     machines_.erase(it);
 }
 
@@ -535,7 +542,8 @@
     for (auto& [name, mp] : machines_) {
         Machine& m = *mp;
         wire::Resources room = m.unreserved();
-        if (!s.need.fits(room) || !usable(m, now) || !allowed(s, m)) continue;
+        if (!s.need.fits(room) || !usable(m, now) || !allowed(s, m) || m.entries.size() >= most_tasks())
+            continue;
         double score = 0;
         double fetch_s = m.has_image(s.image)  ? 0
                          : m.fetching(s.image) ? 0.5 * s.image_gb / m.fetch_gb_per_s
@@ -566,7 +574,7 @@
     m.idle_since = now;
     if (!m.has_image(job.spec.image)) m.note_fetch(job.spec.image, job.spec.image_gb);
     usage_[job.spec.team] += job.spec.need;
-    mark_machine_dirty(m.name);
+    sheets_.start(m.name, {job.spec.priority, job.accepted});
     spdlog::debug("place {} attempt {} on {}, image {}, {:.2f} s after it was accepted", a.task.str(),
                   attempt, m.name, m.has_image(job.spec.image) ? "there" : "to fetch",
                   Seconds(now - job.accepted).count());
@@ -751,7 +759,7 @@
 }
 
 bool Cluster::round(TimePoint now) {
-    if (queue_.waiting() == 0) return false;
+    if (queue_.waiting() == 0 || now < distrust_until_) return false;
     usage_.clear();
     bool limited = std::any_of(rules_.teams.begin(), rules_.teams.end(),
                                [](auto& t) { return t.second.cpus_max > 0 || t.second.gpus_max > 0; });
@@ -795,7 +803,8 @@
             std::size_t at = 0;
             auto choose = [&]() -> Machine* {
                 for (; at < ranked.size(); ++at) {
-                    if (s.need.fits(ranked[at]->unreserved()) && zone_ok(*job, ranked[at]->zone))
+                    if (s.need.fits(ranked[at]->unreserved()) && ranked[at]->entries.size() < most_tasks() &&
+                        zone_ok(*job, ranked[at]->zone))
                         return ranked[at];
                 }
                 return nullptr;
@@ -882,21 +891,34 @@
 }
 
 bool Cluster::has_urgent_writes() const {
-    return !dirty_machines_.empty() || !queued_.empty() ||
+    return sheets_.any(false) || !queued_.empty() ||
            std::any_of(dirty_jobs_.begin(), dirty_jobs_.end(), [this](auto& id) {
                auto it = jobs_.find(id);
                return it != jobs_.end() && waited_for(*it->second);
            });
 }
 
+std::size_t Cluster::most_tasks() const {
+    // The longest name of a task with its attempt takes 52 characters.
+    return std::max<std::size_t>(1,
+                                 (rules_.value_bytes - std::min<std::size_t>(rules_.value_bytes, 400)) / 56);
+}
+
+state::MachineRecord Cluster::record_of(const Machine& m, TimePoint now, std::int64_t wall_ms) const {
+    state::MachineRecord r{m.name, m.address, m.type, m.zone, m.spot, 0, {}};
+    r.rented_ms = wall_ms - std::chrono::duration_cast<std::chrono::milliseconds>(now - m.rented).count();
+    for (auto& [a, e] : m.entries)
+        if (!e.exited() || e.late) r.attempts.push_back(a);
+    return r;
+}
+
 std::vector<Write> Cluster::take_writes(std::size_t max_ops, std::size_t max_bytes, TimePoint now,
-                                        bool progress) {
+                                        std::int64_t wall_ms, bool progress) {
     std::vector<Write> out;
     std::size_t bytes = 0;
     auto add = [&](Write w) {
         // The limits are counted as JSON text; MessagePack is never longer by much, so measure as JSON.
-        bytes += w.key.size() + 40 +
-                 (w.value ? w.value->dump(-1, ' ', false, wire::Json::error_handler_t::replace).size() : 0);
+        bytes += w.key.size() + 40 + (w.value ? text_size(*w.value) : 0);
         out.push_back(std::move(w));
     };
     auto full = [&] { return out.size() >= max_ops || bytes >= max_bytes; };
@@ -904,35 +926,34 @@
         add(std::move(queued_.front()));
         queued_.pop_front();
     }
-    std::int64_t wall = std::chrono::duration_cast<std::chrono::milliseconds>(
-                            std::chrono::system_clock::now().time_since_epoch())
-                            .count();
-    while (!dirty_machines_.empty() && !full()) {
-        std::string name = *dirty_machines_.begin();
-        dirty_machines_.erase(dirty_machines_.begin());
-        Machine* m = find_machine(name);
-        if (!m) continue;
-        state::MachineRecord r;
-        r.address = m->address, r.type = m->type, r.zone = m->zone, r.spot = m->spot;
-        r.rented_ms = wall - std::chrono::duration_cast<std::chrono::milliseconds>(now - m->rented).count();
-        std::vector<Attempt> fresh;
-        for (auto& [a, e] : m->entries) {
-            if (e.exited() && !e.late) continue;
-            r.attempts.push_back(a);
-            if (e.phase == Phase::recording) fresh.push_back(a);
+    while (!full()) {
+        auto due = sheets_.due(progress);
+        if (due.empty()) break;
+        auto number = due.front();
+        Json value = Json::array();
+        std::vector<std::pair<std::string, Attempt>> fresh;
+        for (auto& name : sheets_.machines(number)) {
+            Machine* m = find_machine(name);
+            if (!m) continue;
+            value.push_back(state::to_json(record_of(*m, now, wall_ms)));
+            for (auto& [a, e] : m->entries)
+                if (e.phase == Phase::recording) fresh.emplace_back(name, a);
         }
-        Write w{state::machine_key(name), state::to_json(r), {}};
-        w.durable = [this, name, fresh] {
-            Machine* mm = find_machine(name);
-            if (!mm) return;
-            for (auto& a : fresh) {
-                auto it = mm->entries.find(a);
-                if (it != mm->entries.end() && it->second.phase == Phase::recording)
-                    it->second.phase = Phase::ready;
-            }
-            touch(name);
-        };
-        add(std::move(w));
+        std::size_t size = text_size(value);
+        if (!sheets_.fits(number, size)) continue;
+        if (!out.empty() && bytes + size > max_bytes) break;
+        sheets_.taken(number);
+        add({state::sheet_key(number), std::move(value), [this, number, fresh = std::move(fresh)] {
+                 sheets_.durable(number);
+                 for (auto& [name, a] : fresh) {
+                     Machine* m = find_machine(name);
+                     if (!m) continue;
+                     auto it = m->entries.find(a);
+                     if (it != m->entries.end() && it->second.phase == Phase::recording)
+                         it->second.phase = Phase::ready;
+                     touch(name);
+                 }
+             }});
     }
     for (auto it = dirty_jobs_.begin();
          it != dirty_jobs_.end() && out.size() + 3 <= max_ops && bytes < max_bytes;) {
@@ -988,8 +1009,8 @@
     // Values are absolute: machines and jobs are written anew from what is known by then.
     std::deque<Write> again;
     for (auto& w : writes) {
-        if (w.key.starts_with("machines/") && w.value) {
-            dirty_machines_.insert(w.key.substr(9));
+        if (auto sheet = state::parse_sheet_key(w.key)) {
+            sheets_.failed(*sheet);
         } else if (w.key.starts_with("progress/") && w.value) {
             dirty_jobs_.insert(w.key.substr(9));
         } else if (w.key.starts_with("past/")) {
--- a/src/placement/cluster.hpp
+++ b/src/placement/cluster.hpp
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "fleet/machine.hpp"
+#include "fleet/sheets.hpp"
 #include "queue/job_queue.hpp"
 #include "state/records.hpp"
 
@@ -78,7 +79,8 @@
 
 class Cluster {
   public:
-    explicit Cluster(Rules rules) : rules_(std::move(rules)), queue_(rules_.queue_bound) {}
+    explicit Cluster(Rules rules)
+        : rules_(std::move(rules)), queue_(rules_.queue_bound), sheets_(rules_.value_bytes) {}
 
     const Rules& rules() const { return rules_; }
     void set_types(std::vector<wire::MachineType> types);
@@ -105,8 +107,11 @@
     // Machines.
     Machine& add_machine(const std::string& name, const std::string& type, const std::string& zone, bool spot,
                          TimePoint now);
-    void inherit(const std::string& name, const state::MachineRecord& record, TimePoint now,
+    void inherit(std::uint32_t sheet, const state::MachineRecord& record, TimePoint now,
                  std::int64_t wall_ms);
+    // A record of starts cannot be read, so any task may be anywhere: nothing is started before what no
+    // worker has reported by then is certainly over.
+    void distrust_records(TimePoint until) { distrust_until_ = std::max(distrust_until_, until); }
     Machine* find_machine(const std::string& name);
     std::map<std::string, std::unique_ptr<Machine>>& machines() { return machines_; }
     const std::map<std::string, std::unique_ptr<Machine>>& machines() const { return machines_; }
@@ -129,13 +134,15 @@
     // Writes that wait, most urgent first.
     // `progress`: with what running jobs have done; ends and cancellations of jobs go in any case.
     std::vector<Write> take_writes(std::size_t max_ops, std::size_t max_bytes, TimePoint now,
-                                   bool progress = true);
-    std::size_t changed_jobs() const { return dirty_jobs_.size(); }
-    bool has_writes() const { return !dirty_machines_.empty() || !dirty_jobs_.empty() || !queued_.empty(); }
+                                   std::int64_t wall_ms, bool progress = true);
+    // `wall_ms`: the time of day, by which a successor dates what it inherits.
+    std::size_t changes() const { return dirty_jobs_.size() + sheets_.changed(); }
+    bool has_writes() const { return sheets_.any(true) || !dirty_jobs_.empty() || !queued_.empty(); }
     bool has_urgent_writes() const;
     void write_failed(std::vector<Write> writes);  // not executed, or fenced: to be written again
     void enqueue(Write w) { queued_.push_back(std::move(w)); }
-    void mark_machine_dirty(const std::string& name) { dirty_machines_.insert(name); }
+    // What of a machine is to be recorded with the next occasion; its starts are recorded at once.
+    void mark_machine_dirty(const std::string& name) { sheets_.change(name); }
     void note_stop(Machine& m, const Attempt& a, Entry& e, double grace, TimePoint now, const char* why);
 
     bool usable(const Machine& m, TimePoint now) const;
@@ -168,6 +175,8 @@
     // The machines that can take a task of the job, best first.
     std::vector<Machine*> rank(const Job& job, TimePoint now) const;
     void occupy(Job& job, const Attempt& a, Entry& e, const std::string& machine);
+    state::MachineRecord record_of(const Machine& m, TimePoint now, std::int64_t wall_ms) const;
+    std::size_t most_tasks() const;  // on one machine: its record must fit a value
     void drop_unsent(Machine& m);
     void place(Job& job, std::uint32_t index, Machine& m, std::uint64_t attempt, TimePoint now);
     bool place_gang(Job& job, TimePoint now);
@@ -190,11 +199,12 @@
     std::unordered_map<std::string, state::PastRecord> past_;
     std::map<std::string, std::unique_ptr<Machine>> machines_;
     queue::JobQueue queue_;
-    std::set<std::string> dirty_machines_, dirty_jobs_, touched_;
+    fleet::Sheets sheets_;
+    std::set<std::string> dirty_jobs_, touched_;
     std::deque<Write> queued_;
     std::unordered_map<std::string, wire::Resources> usage_;  // by team, during a round
     std::uint64_t token_ = 0, first_token_ = 0, attempts_ = 0;
-    TimePoint acquired_{};
+    TimePoint acquired_{}, distrust_until_{};
 };
 
 }  // namespace barrowrun::placement
--- a/src/state/records.cpp
+++ b/src/state/records.cpp
@@ -1,5 +1,7 @@
 #include "state/records.hpp"
 
+#include <charconv>
+
 namespace barrowrun::state {
 namespace {
 constexpr char digits64[] = "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789-_";
@@ -122,8 +124,17 @@
 std::string past_key(const std::string& id) {
     return "past/" + id;
 }
-std::string machine_key(const std::string& name) {
-    return "machines/" + name;
+std::string sheet_key(std::uint32_t number) {
+    auto digits = std::to_string(number);
+    return "sheets/" + std::string(digits.size() < 6 ? 6 - digits.size() : 0, '0') + digits;
+}
+std::optional<std::uint32_t> parse_sheet_key(const std::string& key) {
+    constexpr std::string_view prefix = "sheets/";
+    if (!key.starts_with(prefix)) return std::nullopt;
+    std::uint32_t n = 0;
+    auto [end, error] = std::from_chars(key.data() + prefix.size(), key.data() + key.size(), n);
+    if (error != std::errc{} || end != key.data() + key.size()) return std::nullopt;
+    return n;
 }
 std::string hire_key(const std::string& request) {
     return "hires/" + request;
@@ -169,31 +180,49 @@
 }
 
 Json to_json(const MachineRecord& r) {
-    Json list = Json::array();
-    for (auto& a : r.attempts) list.push_back(Json::array({a.task.str(), a.number}));
-    return Json{{"address", r.address}, {"type", r.type},           {"zone", r.zone},
-                {"spot", r.spot},       {"rented_ms", r.rented_ms}, {"attempts", std::move(list)}};
+    Json attempts = Json::array();
+    for (auto& a : r.attempts) {
+        attempts.push_back(a.task.str());
+        attempts.push_back(a.number);
+    }
+    return Json::array({r.name, r.address, r.type, r.zone, r.spot, r.rented_ms, std::move(attempts)});
 }
 
 std::optional<MachineRecord> parse_machine(const Json& value) {
-    const Json* list = wire::find(value, "attempts");
-    if (!list || !list->is_array()) return std::nullopt;
-    MachineRecord r;
-    r.address = wire::text(value, "address").value_or("");
-    r.type = wire::text(value, "type").value_or("");
-    r.zone = wire::text(value, "zone").value_or("");
-    r.spot = wire::flag(value, "spot").value_or(false);
-    r.rented_ms = static_cast<std::int64_t>(wire::count(value, "rented_ms").value_or(0));
-    for (const Json& e : *list) {
-        if (!e.is_array() || e.size() != 2 || !e[0].is_string() || !e[1].is_number_unsigned())
-            return std::nullopt;
-        auto task = wire::TaskId::parse(e[0].get_ref<const std::string&>());
+    if (!value.is_array() || value.size() < 7) return std::nullopt;
+    for (std::size_t i = 0; i < 4; ++i)
+        if (!value[i].is_string()) return std::nullopt;
+    const Json& list = value[6];
+    if (!value[4].is_boolean() || !value[5].is_number_integer() || !list.is_array() || list.size() % 2)
+        return std::nullopt;
+    MachineRecord r{value[0].get<std::string>(),
+                    value[1].get<std::string>(),
+                    value[2].get<std::string>(),
+                    value[3].get<std::string>(),
+                    value[4].get<bool>(),
+                    value[5].get<std::int64_t>(),
+                    {}};
+    if (r.name.empty()) return std::nullopt;
+    for (std::size_t i = 0; i < list.size(); i += 2) {
+        if (!list[i].is_string() || !list[i + 1].is_number_unsigned()) return std::nullopt;
+        auto task = wire::TaskId::parse(list[i].get_ref<const std::string&>());
         if (!task) return std::nullopt;
-        r.attempts.push_back({*task, e[1].get<std::uint64_t>()});
+        r.attempts.push_back({*task, list[i + 1].get<std::uint64_t>()});
     }
     return r;
 }
 
+std::optional<std::vector<MachineRecord>> parse_sheet(const Json& value) {
+    if (!value.is_array()) return std::nullopt;
+    std::vector<MachineRecord> out;
+    for (const Json& v : value) {
+        auto record = parse_machine(v);
+        if (!record) return std::nullopt;
+        out.push_back(std::move(*record));
+    }
+    return out;
+}
+
 Json to_json(const HireRecord& r) {
     return Json{{"type", r.type}, {"zone", r.zone}, {"spot", r.spot}, {"count", r.count}};
 }
--- a/src/state/records.hpp
+++ b/src/state/records.hpp
@@ -5,7 +5,7 @@
 //   jobs/<id>           the job as accepted, written once by whichever node accepted it
 //   progress/<id>       finished tasks, withdrawn or not; written by the leader only
 //   past/<id>           final state of a finished job
-//   machines/<name>     the attempts that may be on a machine
+//   sheets/<number>     machines, each with the attempts that may be on it
 //   hires/<request>     a rental whose outcome is not known yet
 //   catalog             machine types, so that a node can check jobs while the cloud is down
 #include <cstdint>
@@ -46,7 +46,8 @@
 std::string job_key(const std::string& id);
 std::string progress_key(const std::string& id);
 std::string past_key(const std::string& id);
-std::string machine_key(const std::string& name);
+std::string sheet_key(std::uint32_t number);
+std::optional<std::uint32_t> parse_sheet_key(const std::string& key);
 std::string hire_key(const std::string& request);
 inline constexpr const char* leader_key = "leader";
 inline constexpr const char* catalog_key = "catalog";
@@ -73,13 +74,15 @@
 std::optional<PastRecord> parse_past(const Json& value);
 
 struct MachineRecord {
-    std::string address, type, zone;
+    std::string name, address, type, zone;
     bool spot = false;
     std::int64_t rented_ms = 0;
     std::vector<wire::Attempt> attempts;  // may be on the machine
 };
-Json to_json(const MachineRecord& r);
+Json to_json(const MachineRecord& r);  // a list without field names: hundreds stand in a few values
 std::optional<MachineRecord> parse_machine(const Json& value);
+// A sheet is read whole or not at all.
+std::optional<std::vector<MachineRecord>> parse_sheet(const Json& value);
 
 struct HireRecord {
     std::string type, zone;
--- a/src/state/state_client.cpp
+++ b/src/state/state_client.cpp
@@ -93,7 +93,7 @@
     // missing would make running tasks look like waiting ones.
     Snapshot out;
     for (auto [part, prefix] : {std::pair{&out.jobs, "jobs/"}, std::pair{&out.progress, "progress/"},
-                                std::pair{&out.machines, "machines/"}, std::pair{&out.hires, "hires/"}}) {
+                                std::pair{&out.sheets, "sheets/"}, std::pair{&out.hires, "hires/"}}) {
         *part = co_await list(prefix);
         if (!part->ok) co_return std::nullopt;
     }
--- a/src/state/state_client.hpp
+++ b/src/state/state_client.hpp
@@ -39,7 +39,7 @@
 
 // All that a new leader needs, read in one pass.
 struct Snapshot {
-    Listing jobs, progress, machines, hires;
+    Listing jobs, progress, sheets, hires;
 };
 
 struct Condition {
