Room is kept for arrays that should start sooner than a machine boots

Changed: a class of arrays whose wait objective is shorter than 1.5 boots keeps the room that it held at its height in the last five minutes, and such an array counts on a slot a task. By settings and catalogue, no site or class named.

--- a/src/fleet/renting.cpp
+++ b/src/fleet/renting.cpp
@@ -47,11 +47,27 @@
 };
 
 // Usual boots take up to 1.5 times the nominal time.
+constexpr double slow_boot = 1.5;
 // Share of the room expected from ending tasks that is counted on: run times are guesses.
 constexpr double relied_on = 0.7;
 constexpr int most_per_request = 50;  // the cloud's bound
 constexpr double late_boot = 1.7, hopeless_boot = 2.5;
 
+// How long the height of a demand is remembered: a few of the gaps between large arrays.
+constexpr std::chrono::minutes demand_kept{5};
+
+// Whether a job's tasks should all have started before a machine that is rented for it would be up.
+bool cannot_wait_for_boots(const Cluster& cluster, const wire::JobSpec& s) {
+    if (s.sort != Sort::array) return false;
+    double boot = 1e9;
+    for (auto& [name, t] : cluster.types())
+        if (s.need.fits({t.cpus, t.gpus, t.mem_gb}) && !cluster.gpu_reserved(s, t))
+            boot = std::min(boot, t.boot_s);
+    return std::any_of(cluster.rules().objectives.begin(), cluster.rules().objectives.end(), [&](auto& o) {
+        return o.kind == "wait" && o.job_class == s.job_class && o.within_s < slow_boot * boot;
+    });
+}
+
 double boot_s(const Cluster& cluster, const Machine& m) {
     auto t = cluster.types().find(m.type);
     return t == cluster.types().end() ? 60 : t->second.boot_s;
@@ -109,6 +125,27 @@
     return best ? best->name : std::string();
 }
 
+// A class of arrays that should start sooner than a machine boots finds its room only where that is kept:
+// what it held at its height lately stays, or is rented again, while it holds less.
+void Renting::note_demand(const Cluster& cluster, TimePoint now) {
+    for (auto& [name, d] : demand_) d.now = 0;
+    for (auto& [id, job] : cluster.jobs()) {
+        if (job->cancelled || !cannot_wait_for_boots(cluster, job->spec)) continue;
+        auto [it, fresh] = demand_.try_emplace(job->spec.job_class);
+        Demand& d = it->second;
+        if (fresh) d.like = job->spec;
+        auto blend = [](double& mean, double x) { mean += 0.01 * (x - mean); };
+        blend(d.like.need.cpus, job->spec.need.cpus);
+        blend(d.like.need.mem_gb, job->spec.need.mem_gb);
+        d.now += job->waiting.size() + static_cast<std::uint32_t>(job->places.size());
+    }
+    for (auto& [name, d] : demand_) {
+        while (!d.peaks.empty() && d.peaks.back().second <= d.now) d.peaks.pop_back();
+        d.peaks.emplace_back(now, d.now);
+        while (now - d.peaks.front().first > demand_kept) d.peaks.pop_front();
+    }
+}
+
 RentPlan Renting::plan(const Cluster& cluster, TimePoint now, const std::vector<Order>& coming) {
     RentPlan out;
     if (cluster.types().empty()) return out;
@@ -280,7 +317,9 @@
                 double time = cluster.time_left(job, now);
                 double left = std::max(run, time);
                 double total = static_cast<double>(n) + static_cast<double>(job.places.size());
-                auto slots = static_cast<std::uint32_t>(std::ceil(total * run / (left + run)));
+                // Not where all should start before the first could have ended.
+                auto slots = static_cast<std::uint32_t>(
+                    std::ceil(cannot_wait_for_boots(cluster, job.spec) ? total : total * run / (left + run)));
                 auto running = static_cast<std::uint32_t>(job.places.size());
                 double work = static_cast<double>(n) * run * job.spec.need.cpus;
                 n = std::min(n, slots > running ? slots - running : 0);
@@ -343,6 +382,10 @@
                        std::max<double>(cluster.rules().headroom_min, cluster.rules().headroom_max)));
         cover(nullptr, headroom, headroom_tasks, Soft::all);
     }
+    note_demand(cluster, now);
+    for (auto& [name, d] : demand_)
+        if (d.peaks.front().second > d.now)
+            cover(nullptr, d.like, d.peaks.front().second - d.now, Soft::none);
     // A request names up to 50 machines and the cloud takes few requests a second: the largest go first, and
     // what the rate will not take soon is left to a later plan.
     for (auto& [offer, n] : orders)
--- a/src/fleet/renting.hpp
+++ b/src/fleet/renting.hpp
@@ -1,5 +1,6 @@
 #pragma once
 // How many machines to rent, of which sort, and which to give back.
+#include <deque>
 #include <map>
 #include <string>
 #include <vector>
@@ -36,12 +37,20 @@
     void note_arrival(const wire::JobSpec& spec, TimePoint now);
 
   private:
+    // How many tasks an array class that can't wait for boots held at once, lately.
+    struct Demand {
+        wire::JobSpec like;                                     // what its jobs need, on average
+        std::deque<std::pair<TimePoint, std::uint32_t>> peaks;  // falling
+        std::uint32_t now = 0;
+    };
+    void note_demand(const placement::Cluster& cluster, TimePoint now);
     std::string to_empty(const placement::Cluster& cluster, TimePoint now, std::uint32_t keep_free) const;
     struct Refusal {
         TimePoint until{};
         int row = 0;
     };
     std::map<Offer, Refusal> refusals_;
+    std::map<std::string, Demand> demand_;
     std::deque<std::pair<TimePoint, std::uint32_t>> service_arrivals_;  // tasks of services, lately
 };
 
--- a/tests/renting_test.cpp
+++ b/tests/renting_test.cpp
@@ -129,6 +129,31 @@
     EXPECT_TRUE(f.on(plan.give_back[0]).empty());
 }
 
+TEST(Renting, RoomIsKeptForArraysThatCannotWaitForABoot) {
+    // With 25 s from rental to boot, a start within 20 s needs room that is there already; one within 60 s not.
+    for (double within : {20.0, 60.0}) {
+        placement::Rules rules;
+        rules.objectives = {{"wait", "batch", within}};
+        Fleet f(rules);
+        f.up("n-1");
+        f.up("n-2");
+        f.up("n-3");
+        f.add(f.spec("wk-1", 12));
+        f.place_all();
+        for (auto* name : {"n-1", "n-2", "n-3"}) f.run(name);
+        Renting r;
+        r.plan(*f.cluster, f.now);
+        f.cluster->cancel(*f.cluster->find_job("wk-1"), f.now);
+        f.now += 120s;
+        for (auto* name : {"n-1", "n-2", "n-3"}) f.cluster->on_report(f.report(name), true, f.now);
+        f.write();
+        EXPECT_EQ(r.plan(*f.cluster, f.now).give_back.size(), within < 30 ? 0u : 3u);
+        f.now += 10min;
+        for (auto* name : {"n-1", "n-2", "n-3"}) f.cluster->on_report(f.report(name), true, f.now);
+        EXPECT_EQ(r.plan(*f.cluster, f.now).give_back.size(), 3u) << "not for ever";
+    }
+}
+
 TEST(Renting, AMachineThatNeverComesUpIsReplaced) {
     Fleet f;
     f.cluster->add_machine("n-1", "small", "a", false, f.now);
