A faulty machine is told from a faulty job by what runs elsewhere

Changed: a job with a finished task, or one that has run for 10 s, blames the machine: its task goes elsewhere at once; two such failures end the machine's use. A machine under suspicion gets no replica and one trial at a time. What runs on it is left alone; if that keeps it rented, it is tried again after 60 s. A job that fails everywhere still backs off.

--- a/src/fleet/machine.hpp
+++ b/src/fleet/machine.hpp
@@ -70,8 +70,11 @@
     bool suspect = false;    // silent, to be proven empty
     bool push_ok = true;     // its address answers us
     bool pushing = false, probing = false;
-    int missed = 0;  // questions in a row that it did not answer
-    int errors = 0, successes = 0;
+    int missed = 0;                 // questions in a row that it did not answer
+    int errors = 0, successes = 0;  // failures in a row
+    int blamed = 0;                 // of them, those of jobs that run well elsewhere
+    TimePoint last_error{};
+    std::optional<TimePoint> faulty;  // it fails what it starts: nothing new for it, what runs goes on
     double slowness = 1.0;
     wire::Resources capacity;
     // In a placing round: room, and what of it is kept for tasks that lower work was stopped for.
--- a/src/fleet/renting.cpp
+++ b/src/fleet/renting.cpp
@@ -178,7 +178,8 @@
         if (cluster.types().contains(order.offer.type))
             for (int k = 0; k < order.count; ++k) bins.push_back(fresh_bin(index_of(order.offer)));
     for (auto& [name, m] : cluster.machines()) {
-        if (m->returning || m->drain || m->suspect || m->taken_at || m->capacity.mem_gb <= 0) continue;
+        if (m->returning || m->drain || m->faulty || m->suspect || m->taken_at || m->capacity.mem_gb <= 0)
+            continue;
         // A machine that takes much longer than usual to come up may never do so: it is not counted on.
         if (!m->up && m->entries.empty() && now - m->rented > secs(late_boot * boot_s(cluster, *m))) continue;
         Bin b;
@@ -412,7 +413,7 @@
             spdlog::warn("machine {} has not come up in {:.0f} s: it is returned", name,
                          Seconds(now - m->rented).count());
             out.give_back.push_back(name);
-        } else if (m->drain && m->live() == 0) {
+        } else if ((m->drain || m->faulty) && m->live() == 0) {
             out.give_back.push_back(name);
         }
     }
--- a/src/placement/cluster.cpp
+++ b/src/placement/cluster.cpp
@@ -16,6 +16,10 @@
 namespace {
 // Bounds the time of a round and what its starts put into the line of writes; the next round follows at once.
 constexpr std::size_t most_starts_a_round = 400;
+// A job whose task ran that long can run: faulty machines fail theirs sooner.
+constexpr std::chrono::seconds proven_after{10};
+// A faulty machine that replicas keep rented is tried again after this.
+constexpr std::chrono::seconds faulty_for{60};
 
 std::size_t text_size(const wire::Json& value) {
     return value.dump(-1, ' ', false, wire::Json::error_handler_t::replace).size();
@@ -298,7 +302,7 @@
     switch (e.cause) {
         case Cause::done:
             m.successes++;
-            m.errors = 0;
+            m.errors = m.blamed = 0;
             job->errors_in_row = 0;
             if (counted && job->spec.sort == Sort::array) {
                 job->run_sum += ran;
@@ -312,10 +316,20 @@
             break;
         case Cause::error:
             m.errors++;
-            job->errors_in_row++;
+            m.last_error = now;
             job->failed_on.insert(m.name);
-            // A job that fails everywhere must not burn machines: its tries grow rarer.
-            job->retry_at = now + secs(std::min(30.0, 0.5 * std::pow(2.0, std::min(job->errors_in_row, 8))));
+            if (runs_well(*job, now)) {
+                // The machine's fault. A few of these once held a whole urgent array back: the task goes
+                // elsewhere at once.
+                m.blamed++;
+            } else {
+                job->errors_in_row++;
+                // A job that fails everywhere must not burn machines: its tries grow rarer.
+                job->retry_at =
+                    now + secs(job->errors_in_row == 1
+                                   ? 0.5
+                                   : std::min(30.0, 0.5 * std::pow(2.0, std::min(job->errors_in_row, 8))));
+            }
             spdlog::info("{} failed on {} ({} errors in a row there, {} for the job)", a.task.str(), m.name,
                          m.errors, job->errors_in_row);
             break;
@@ -474,8 +488,8 @@
 // ---- decisions -----------------------------------------------------------------------------------------
 
 bool Cluster::usable(const Machine& m, TimePoint now) const {
-    return m.up && !m.returning && !m.drain && !m.suspect && !m.taken_at && m.capacity.mem_gb > 0 &&
-           now - m.last_report < secs(rules_.report_s * 1.25 + 1.5);
+    return m.up && !m.returning && !m.drain && !m.faulty && !m.suspect && !m.taken_at &&
+           m.capacity.mem_gb > 0 && now - m.last_report < secs(rules_.report_s * 1.25 + 1.5);
 }
 
 bool Cluster::gpu_reserved(const wire::JobSpec& spec, const wire::MachineType& t) const {
@@ -601,7 +615,8 @@
             for (auto& [name, mp] : machines_) {
                 Machine& m = *mp;
                 if (!zone.empty() && m.zone != zone) continue;
-                if (!usable(m, now) || !allowed(job.spec, m) || m.slowness > 1.8) continue;
+                if (!usable(m, now) || !allowed(job.spec, m) || !trusted(m, job) || m.slowness > 1.8)
+                    continue;
                 if (job.spec.spread && in_zone[m.zone] + 1 > (job.spec.tasks + 1) / 2) continue;
                 wire::Resources room = m.unreserved();
                 if (auto t = taken.find(name); t != taken.end()) room -= t->second;
@@ -696,7 +711,8 @@
         bool lower = false;
         for (auto& [a, e] : m.entries)
             lower |= !e.exited() && (e.stop || (e.may_yield && e.level > job.spec.priority));
-        if (!lower || !usable(m, now) || !allowed(job.spec, m) || !zone_ok(job, m.zone) || m.slowness > 1.8)
+        if (!lower || !usable(m, now) || !allowed(job.spec, m) || !trusted(m, job) || !zone_ok(job, m.zone) ||
+            m.slowness > 1.8)
             continue;
         if (with_image && !m.has_image(job.spec.image)) continue;
         wire::Resources room = coming(m);
@@ -803,8 +819,8 @@
             std::size_t at = 0;
             auto choose = [&]() -> Machine* {
                 for (; at < ranked.size(); ++at) {
-                    if (s.need.fits(ranked[at]->unreserved()) && ranked[at]->entries.size() < most_tasks() &&
-                        zone_ok(*job, ranked[at]->zone))
+                    if (s.need.fits(ranked[at]->unreserved()) && trusted(*ranked[at], *job) &&
+                        ranked[at]->entries.size() < most_tasks() && zone_ok(*job, ranked[at]->zone))
                         return ranked[at];
                 }
                 return nullptr;
@@ -850,22 +866,56 @@
     return acted;
 }
 
+bool Cluster::runs_well(const Job& job, TimePoint now) const {
+    if (!job.done.empty()) return true;
+    for (auto& [index, list] : job.places)
+        for (auto& [name, number] : list) {
+            auto m = machines_.find(name);
+            if (m == machines_.end()) continue;
+            auto e = m->second->entries.find({{job.spec.id, index}, number});
+            if (e != m->second->entries.end() && !e->second.exited() && e->second.running != TimePoint{} &&
+                now - e->second.running > proven_after)
+                return true;
+        }
+    return false;
+}
+
+bool Cluster::trusted(const Machine& m, const Job& job) const {
+    if (m.errors == 0) return true;
+    if (job.spec.sort == Sort::service || (m.blamed > 0 && job.failed_on.contains(m.name))) return false;
+    return std::none_of(m.entries.begin(), m.entries.end(),
+                        [&](auto& kv) { return !kv.second.exited() && kv.second.since >= m.last_error; });
+}
+
+void Cluster::judge(Machine& m, TimePoint now) {
+    if (m.faulty && now - *m.faulty > faulty_for && m.live() > 0) {
+        // What held it may be over, and what runs on it keeps it rented: one trial.
+        m.faulty.reset();
+        m.errors = 1;
+        m.blamed = 0;
+    }
+    if (m.faulty || m.drain || m.errors < 2) return;
+    bool faulty = m.blamed >= 2;
+    if (!faulty && m.errors >= 3) {
+        // Jobs that failed on few machines speak against it; one that fails wherever it goes does not. Each
+        // job counts for itself: many faulty machines once shielded one another.
+        faulty = std::any_of(jobs_.begin(), jobs_.end(), [&](auto& kv) {
+            return kv.second->failed_on.contains(m.name) &&
+                   (kv.second->failed_on.size() < 3 || runs_well(*kv.second, now));
+        });
+        if (!faulty) m.errors = 0;
+    }
+    if (!faulty) return;
+    spdlog::warn("machine {} fails its tasks ({} in a row): it gets no more, and is returned when empty",
+                 m.name, m.errors);
+    m.faulty = now;
+}
+
 void Cluster::tick(TimePoint now) {
     for (auto& [name, mp] : machines_) {
         Machine& m = *mp;
         if (m.live() > 0) m.idle_since = now;
-        if (m.errors >= 3 && !m.drain) {
-            std::set<std::string> failing;
-            for (auto& [id, job] : jobs_)
-                if (job->failed_on.contains(name) && job->failed_on.size() < 3) failing.insert(id);
-            if (!failing.empty()) {
-                spdlog::warn("machine {} fails its tasks ({} in a row): it is emptied and returned", name,
-                             m.errors);
-                m.drain = true;
-            } else {
-                m.errors = 0;
-            }
-        }
+        judge(m, now);
         if (m.taken_at || m.drain) {
             for (auto& [a, e] : m.entries) {
                 if (e.exited() || e.stop) continue;
--- a/src/placement/cluster.hpp
+++ b/src/placement/cluster.hpp
@@ -56,8 +56,8 @@
     std::unordered_map<std::uint32_t, std::vector<std::pair<std::string, std::uint64_t>>> places;
     TimePoint retry_at{};
     int errors_in_row = 0;
-    std::set<std::string> failed_on;
-    double run_sum = 0;  // of its finished tasks
+    std::set<std::string> failed_on;  // machines
+    double run_sum = 0;               // of its finished tasks
     int runs = 0;
 
     bool finished() const { return done.size() == spec.tasks; }
@@ -189,6 +189,11 @@
     bool team_has_room(const Job& job, std::uint32_t tasks) const;
     void reconcile_reported(Machine& m, TimePoint now);
     void stop_gang(Job& job, double grace, TimePoint now, const char* why);
+    // Whether a job has shown that its tasks can run: then a failure is the machine's.
+    bool runs_well(const Job& job, TimePoint now) const;
+    // A machine under suspicion gets no replicas, nothing that failed on it, and one trial at a time.
+    bool trusted(const Machine& m, const Job& job) const;
+    void judge(Machine& m, TimePoint now);
     bool may_reap(const Attempt& a, const Entry& e) const;
     double grace_for(const Job& job) const { return job.spec.checkpoint_s > 0 ? job.spec.save_s + 1.0 : 0.0; }
     std::uint64_t next_attempt() { return (first_token_ << 20) + ++attempts_; }
