Replicas do not move where room is kept; looking for machines to empty costs less

Changed: nothing is emptied while room is kept for arrays; rooms are gathered once; of two machines alike the one that has fetched more images is kept.

--- a/src/fleet/renting.cpp
+++ b/src/fleet/renting.cpp
@@ -44,6 +44,7 @@
     double committed = 0;   // CPU seconds that running tasks of arrays still need
     double ready_s = 0;
     double fetch_gb_per_s = 0.1;
+    std::size_t images = 0;
 };
 
 // Usual boots take up to 1.5 times the nominal time.
@@ -79,13 +80,16 @@
 // them find room, and their image, on other machines of their zone; the room kept for new services stays.
 std::string Renting::to_empty(const Cluster& cluster, TimePoint now, std::uint32_t keep_free) const {
     const Machine* best = nullptr;
-    for (auto& [name, candidate] : cluster.machines()) {
+    // Made once: rooms gathered anew for each of 600 candidates took the leader's share for half a second.
+    std::vector<std::pair<const Machine*, wire::Resources>> all, room;
+    for (auto& [name, m] : cluster.machines())
+        if (cluster.usable(*m, now) && m->live() > 0) all.emplace_back(m.get(), m->room());
+    for (auto& [candidate, own_room] : all) {
         const Machine& m = *candidate;
-        if (!cluster.usable(m, now) || m.live() == 0 || m.live() > 16 || now - m.rented < secs(90)) continue;
+        if (m.live() > 16 || now - m.rented < secs(90)) continue;
         if (best && m.live() >= best->live()) continue;
-        std::map<std::string, wire::Resources> room;
-        for (auto& [other, o] : cluster.machines())
-            if (other != name && cluster.usable(*o, now) && o->live() > 0) room[other] = o->room();
+        room = all;
+        std::erase_if(room, [&](auto& r) { return r.first == &m; });
         bool fits = true;
         wire::Resources need;
         for (auto& [a, e] : m.entries) {
@@ -101,7 +105,7 @@
             const auto& spec = job->second->spec;
             need = spec.need;
             auto target = std::find_if(room.begin(), room.end(), [&](auto& r) {
-                const Machine& o = *cluster.machines().at(r.first);
+                const Machine& o = *r.first;
                 return o.zone == m.zone && cluster.allowed(spec, o) && o.has_image(spec.image) &&
                        spec.need.fits(r.second);
             });
@@ -111,16 +115,18 @@
             }
             target->second -= spec.need;
         }
+        if (!fits) continue;
         std::uint32_t left = 0;
         for (auto& [other, r] : room) {
+            if (left >= keep_free) break;
             auto free = r;
-            free += cluster.preemptible(*cluster.machines().at(other), wire::Priority::production);
+            free += cluster.preemptible(*other, wire::Priority::production);
             while (left < keep_free && need.cpus > 0 && need.fits(free)) {
                 free -= need;
                 ++left;
             }
         }
-        if (fits && left >= keep_free) best = &m;
+        if (left >= keep_free) best = &m;
     }
     return best ? best->name : std::string();
 }
@@ -187,6 +193,7 @@
         b.offer = index_of({m->type, m->zone, m->spot});
         b.room = m->room();
         b.used = m->live() > 0;
+        b.images = m->images.size();  // of two alike, the one that has fetched more is kept
         b.fetch_gb_per_s = m->fetch_gb_per_s;
         for (auto& [a, e] : m->entries)
             if (e.stop && !e.exited()) b.room += e.need;
@@ -263,7 +270,7 @@
         std::sort(fitting.begin(), fitting.end(), [&](std::size_t x, std::size_t y) {
             auto rank = [&](std::size_t i) {
                 const Bin& b = bins[i];
-                return std::tuple(!b.used, s.spot_ok && !offers[b.offer].spot, b.room.cpus, i);
+                return std::tuple(!b.used, s.spot_ok && !offers[b.offer].spot, b.room.cpus, ~b.images, i);
             };
             return rank(x) < rank(y);
         });
@@ -402,7 +409,10 @@
         if (now - m.idle_since > secs(cluster.rules().idle_return_s) && now - m.rented > secs(55))
             out.give_back.push_back(b.name);
     }
-    if (out.rent.empty() && out.give_back.empty() && cluster.queue().waiting() == 0)
+    // Where room is kept for arrays, what it frees would be kept as well: replicas would move for nothing.
+    bool kept = std::any_of(demand_.begin(), demand_.end(),
+                            [](auto& d) { return d.second.peaks.front().second > 0; });
+    if (!kept && out.rent.empty() && out.give_back.empty() && cluster.queue().waiting() == 0)
         out.empty = to_empty(cluster, now, headroom_tasks);
     for (auto& [name, m] : cluster.machines()) {
         if (m->returning) continue;
