--- a/tests/renting_test.cpp
+++ b/tests/renting_test.cpp
@@ -130,7 +130,8 @@
 }
 
 TEST(Renting, RoomIsKeptForArraysThatCannotWaitForABoot) {
-    // With 25 s from rental to boot, a start within 20 s needs room that is there already; one within 60 s not.
+    // With 25 s from rental to boot, a start within 20 s needs room that is there already; one within 60 s
+    // not.
     for (double within : {20.0, 60.0}) {
         placement::Rules rules;
         rules.objectives = {{"wait", "batch", within}};
