A job that fails everywhere keeps no replica off machines; unreadable records are kept

Found by reading: an unproven job's failure put its machine under suspicion, and suspicion barred replicas until an array had succeeded there; a job with a mistake could so bar the fleet. And the number of a sheet that cannot be read could be used anew, so that a successor would not have seen it. Tests for both; both fail without the change by what they look at.

--- a/src/api/leader.cpp
+++ b/src/api/leader.cpp
@@ -81,7 +81,7 @@
         auto records = state::parse_sheet(item.value);
         if (!number || !records) {
             spdlog::error("the record {} cannot be read: nothing is started for a lease", item.key);
-            cluster_.distrust_records(acquired_ + longer(secs(services_.settings.rules.lease_s)));
+            cluster_.distrust_records(number, acquired_ + longer(secs(services_.settings.rules.lease_s)));
             continue;
         }
         for (auto& record : *records) cluster_.inherit(*number, record, acquired_, wall);
--- a/src/fleet/sheets.hpp
+++ b/src/fleet/sheets.hpp
@@ -32,6 +32,9 @@
     // a move: the lower becomes its home and is written, with what either named, before the other.
     void inherit(Number sheet, const std::string& machine);
 
+    // A record that cannot be read: it is neither used nor overwritten, so that a successor sees it too.
+    void set_aside(Number sheet) { sheets_[sheet].bytes = value_bytes_; }
+
     // Sheets to write, the most pressing first; with `all` also those that no start waits for.
     std::vector<Number> due(bool all) const;
     bool any(bool all) const;
--- a/src/placement/cluster.cpp
+++ b/src/placement/cluster.cpp
@@ -324,6 +324,12 @@
                 m.blamed++;
             } else {
                 job->errors_in_row++;
+                // One that fails wherever it goes speaks against itself: replicas must not be kept off every
+                // machine that it has tried.
+                if (job->failed_on.size() >= 3)
+                    for (auto& name : job->failed_on)
+                        if (Machine* tried = find_machine(name); tried && tried->blamed == 0)
+                            tried->errors = 0;
                 // A job that fails everywhere must not burn machines: its tries grow rarer.
                 job->retry_at =
                     now + secs(job->errors_in_row == 1
@@ -615,7 +621,7 @@
             for (auto& [name, mp] : machines_) {
                 Machine& m = *mp;
                 if (!zone.empty() && m.zone != zone) continue;
-                if (!usable(m, now) || !allowed(job.spec, m) || !trusted(m, job) || m.slowness > 1.8)
+                if (!usable(m, now) || !allowed(job.spec, m) || !trusted(m, job, now) || m.slowness > 1.8)
                     continue;
                 if (job.spec.spread && in_zone[m.zone] + 1 > (job.spec.tasks + 1) / 2) continue;
                 wire::Resources room = m.unreserved();
@@ -711,8 +717,8 @@
         bool lower = false;
         for (auto& [a, e] : m.entries)
             lower |= !e.exited() && (e.stop || (e.may_yield && e.level > job.spec.priority));
-        if (!lower || !usable(m, now) || !allowed(job.spec, m) || !trusted(m, job) || !zone_ok(job, m.zone) ||
-            m.slowness > 1.8)
+        if (!lower || !usable(m, now) || !allowed(job.spec, m) || !trusted(m, job, now) ||
+            !zone_ok(job, m.zone) || m.slowness > 1.8)
             continue;
         if (with_image && !m.has_image(job.spec.image)) continue;
         wire::Resources room = coming(m);
@@ -819,7 +825,7 @@
             std::size_t at = 0;
             auto choose = [&]() -> Machine* {
                 for (; at < ranked.size(); ++at) {
-                    if (s.need.fits(ranked[at]->unreserved()) && trusted(*ranked[at], *job) &&
+                    if (s.need.fits(ranked[at]->unreserved()) && trusted(*ranked[at], *job, now) &&
                         ranked[at]->entries.size() < most_tasks() && zone_ok(*job, ranked[at]->zone))
                         return ranked[at];
                 }
@@ -880,8 +886,8 @@
     return false;
 }
 
-bool Cluster::trusted(const Machine& m, const Job& job) const {
-    if (m.errors == 0) return true;
+bool Cluster::trusted(const Machine& m, const Job& job, TimePoint now) const {
+    if (m.errors == 0 || now - m.last_error > faulty_for) return true;
     if (job.spec.sort == Sort::service || (m.blamed > 0 && job.failed_on.contains(m.name))) return false;
     return std::none_of(m.entries.begin(), m.entries.end(),
                         [&](auto& kv) { return !kv.second.exited() && kv.second.since >= m.last_error; });
--- a/src/placement/cluster.hpp
+++ b/src/placement/cluster.hpp
@@ -111,7 +111,10 @@
                  std::int64_t wall_ms);
     // A record of starts cannot be read, so any task may be anywhere: nothing is started before what no
     // worker has reported by then is certainly over.
-    void distrust_records(TimePoint until) { distrust_until_ = std::max(distrust_until_, until); }
+    void distrust_records(std::optional<std::uint32_t> sheet, TimePoint until) {
+        distrust_until_ = std::max(distrust_until_, until);
+        if (sheet) sheets_.set_aside(*sheet);
+    }
     Machine* find_machine(const std::string& name);
     std::map<std::string, std::unique_ptr<Machine>>& machines() { return machines_; }
     const std::map<std::string, std::unique_ptr<Machine>>& machines() const { return machines_; }
@@ -192,7 +195,7 @@
     // Whether a job has shown that its tasks can run: then a failure is the machine's.
     bool runs_well(const Job& job, TimePoint now) const;
     // A machine under suspicion gets no replicas, nothing that failed on it, and one trial at a time.
-    bool trusted(const Machine& m, const Job& job) const;
+    bool trusted(const Machine& m, const Job& job, TimePoint now) const;
     void judge(Machine& m, TimePoint now);
     bool may_reap(const Attempt& a, const Entry& e) const;
     double grace_for(const Job& job) const { return job.spec.checkpoint_s > 0 ? job.spec.save_s + 1.0 : 0.0; }
--- a/tests/cluster_test.cpp
+++ b/tests/cluster_test.cpp
@@ -411,6 +411,22 @@
         }
 }
 
+TEST(Errors, AJobThatFailsEverywhereKeepsNoReplicaOffTheMachines) {
+    Fleet f;
+    std::mt19937 random(1);
+    std::map<std::string, int> failures;
+    for (auto* name : {"n-1", "n-2", "n-3"}) f.up(name);
+    f.add(f.spec("wk-1", 3, 4));
+    for (int i = 0; i < 3; ++i) step(f, {}, {"wk-1"}, random, failures);
+    ASSERT_GE(failures["wk-1"], 3);
+    auto service = f.spec("wk-2", 3);
+    service.sort = wire::Sort::service;
+    service.priority = Priority::production;
+    auto& job = f.add(service);
+    f.place_all();
+    EXPECT_EQ(job.places.size(), 3u);
+}
+
 TEST(Drain, ANoticedMachineGetsNothingNewAndSavesWhatCanBeSaved) {
     Fleet f;
     f.up("n-1", "a", "small", true);
--- a/tests/sheets_test.cpp
+++ b/tests/sheets_test.cpp
@@ -200,9 +200,10 @@
 
 TEST(Takeover, RecordsThatCannotBeReadHoldAllStartsForALease) {
     Fleet f;
-    f.up("n-1");
     f.add(f.spec("wk-1"));
-    f.cluster->distrust_records(f.now + 20s);
+    f.cluster->distrust_records(0, f.now + 20s);
+    f.up("n-1");
+    for (auto& w : f.write()) EXPECT_NE(w.key, state::sheet_key(0)) << "a successor must see it too";
     f.place_all();
     EXPECT_TRUE(f.on("n-1").empty());
     f.now += 21s;
