--- /dev/null
+++ b/cmake/tools.cmake
@@ -0,0 +1,54 @@
+# What people use beside the controller: client, worker, loopback site. deploy/service.toml builds none of it.
+find_package(PkgConfig REQUIRED)
+find_package(SQLite3 REQUIRED)
+pkg_check_modules(XXHASH REQUIRED IMPORTED_TARGET libxxhash)
+
+barrowrun_embed(schema/worker.schema.json worker worker_schema)
+
+add_library(barrowrun_depot STATIC src/depot/files.cpp src/depot/depot.cpp)
+target_link_libraries(barrowrun_depot PUBLIC barrowrun_wire PRIVATE PkgConfig::XXHASH barrowrun_flags)
+
+add_library(barrowrun_store STATIC src/store/sqlite.cpp)
+target_include_directories(barrowrun_store PUBLIC src)
+target_link_libraries(barrowrun_store PUBLIC SQLite::SQLite3 PRIVATE barrowrun_flags)
+
+add_library(barrowrun_proc STATIC src/proc/spawn.cpp)
+target_include_directories(barrowrun_proc PUBLIC src)
+target_link_libraries(barrowrun_proc PRIVATE barrowrun_flags)
+
+add_library(barrowrun_worker_parts STATIC
+  src/worker/machine.cpp
+  src/worker/stage.cpp
+  src/worker/process.cpp
+  src/worker/executor.cpp
+  src/worker/agent.cpp)
+target_include_directories(barrowrun_worker_parts PRIVATE ${CMAKE_CURRENT_BINARY_DIR}/generated)
+target_link_libraries(barrowrun_worker_parts PUBLIC barrowrun_daemon barrowrun_depot barrowrun_proc PRIVATE barrowrun_flags)
+
+add_library(barrowrun_lab_parts STATIC
+  src/lab/state_store.cpp
+  src/lab/service.cpp
+  src/lab/state_service.cpp
+  src/lab/child.cpp
+  src/lab/cloud_model.cpp
+  src/lab/cloud_service.cpp
+  src/lab/relay.cpp
+  src/lab/site.cpp)
+target_link_libraries(barrowrun_lab_parts PUBLIC barrowrun_worker_parts barrowrun_store PRIVATE barrowrun_flags)
+
+# Decisions and readers: no I/O but for files that rules name.
+add_library(barrowrun_workflow STATIC
+  src/workflow/graph.cpp
+  src/workflow/flow.cpp
+  src/workflow/make/text.cpp
+  src/workflow/make/expand.cpp
+  src/workflow/make/parse.cpp
+  src/workflow/make/resolve.cpp
+  src/workflow/make/makefile.cpp)
+target_link_libraries(barrowrun_workflow PUBLIC barrowrun_depot PRIVATE barrowrun_flags)
+
+foreach(program worker lab)
+  add_executable(barrowrun-${program} src/${program}/main.cpp)
+  target_link_libraries(barrowrun-${program} PRIVATE barrowrun_${program}_parts CLI11::CLI11 barrowrun_flags)
+  target_compile_definitions(barrowrun-${program} PRIVATE BARROWRUN_VERSION="${PROJECT_VERSION}")
+endforeach()
--- a/src/api/leader.cpp
+++ b/src/api/leader.cpp
@@ -183,9 +183,9 @@
     if (!loaded_) return std::nullopt;
     if (auto it = cluster_.jobs().find(id); it != cluster_.jobs().end()) {
         auto& job = *it->second;
-        return wire::JobStatus{id, job.standing(), job.done.size(), job.running()};
+        return wire::JobStatus{id, job.standing(), job.done.size(), job.running(), job.error_count};
     }
-    if (auto past = cluster_.past(id)) return wire::JobStatus{id, past->standing, past->done, 0};
+    if (auto past = cluster_.past(id)) return wire::JobStatus{id, past->standing, past->done, 0, past->errors};
     return std::nullopt;
 }
 
@@ -217,7 +217,8 @@
         auto* job = cluster_.find_job(id);
         if (!job) co_return later;
         auto standing = job->standing();
-        if (standing == wire::Standing::cancelled || standing == wire::Standing::done)
+        if (standing == wire::Standing::cancelled || standing == wire::Standing::done ||
+            standing == wire::Standing::failed)
             co_return Response{200, wire::accepted_json(id, standing)};
         // A job whose last result is in counts as done; that is on record shortly.
         if (!asked && !job->finished()) {
--- a/src/api/node.cpp
+++ b/src/api/node.cpp
@@ -15,6 +15,7 @@
         election::Peer p;
         p.name = m.name;
         p.address = m.address;
+        p.reach = net::Reach("node " + m.name);
         out.push_back(std::move(p));
     }
     return out;
@@ -67,7 +68,12 @@
         };
     };
     net::asio::co_spawn(io_,
-                        public_server_.serve([this](net::Request r) { return public_route(std::move(r)); }),
+                        public_server_.serve([this](net::Request r) { return public_route(std::move(r)); },
+                                             [](const net::Request& r) {
+                                                 return r.target == "/hello" || r.target == "/healthz"
+                                                            ? net::Caller::system
+                                                            : net::Caller::user;
+                                             }),
                         ended("the public server"));
     net::asio::co_spawn(io_, peer_server_.serve([this](net::Request r) { return peer_route(std::move(r)); }),
                         ended("the peer server"));
@@ -193,11 +199,12 @@
             auto p = state::parse_progress(progress.value, record->spec.tasks);
             if (!p) co_return look;
             look.known_outcome = true;
-            auto standing = p->cancelled                           ? wire::Standing::cancelled
+            auto standing = p->failed                              ? wire::Standing::failed
+                            : p->cancelled                         ? wire::Standing::cancelled
                             : p->done.size() == record->spec.tasks ? wire::Standing::done
                             : p->done.empty()                      ? wire::Standing::queued
                                                                    : wire::Standing::running;
-            look.status = wire::JobStatus{id, standing, p->done.size(), 0};
+            look.status = wire::JobStatus{id, standing, p->done.size(), 0, p->total};
             co_return look;
         }
         if (progress.outcome != Outcome::absent) co_return look;
@@ -210,14 +217,14 @@
         auto p = state::parse_past(past.value);
         if (!p) co_return look;
         look.known_outcome = true;
-        look.status = wire::JobStatus{id, p->standing, p->done, 0};
+        look.status = wire::JobStatus{id, p->standing, p->done, 0, p->errors};
         if (finished_.size() >= kept_final_states) finished_.erase(finished_.begin());
         finished_[id] = *look.status;
         co_return look;
     }
     if (past.outcome != Outcome::absent) co_return look;
     look.known_outcome = true;
-    if (job.outcome == Outcome::ok) look.status = wire::JobStatus{id, wire::Standing::queued, 0, 0};
+    if (job.outcome == Outcome::ok) look.status = wire::JobStatus{id, wire::Standing::queued, 0, 0, {}};
     co_return look;
 }
 
--- /dev/null
+++ b/src/app/logging.hpp
@@ -0,0 +1,24 @@
+#pragma once
+// Logs go to standard error, in the amount that LOG_LEVEL sets.
+#include <spdlog/sinks/stdout_sinks.h>
+#include <spdlog/spdlog.h>
+
+#include <cstdlib>
+#include <memory>
+#include <string>
+
+namespace barrowrun::app {
+
+inline void log_to_stderr(const char* name, const char* otherwise = "info") {
+    auto logger = std::make_shared<spdlog::logger>(name, std::make_shared<spdlog::sinks::stderr_sink_st>());
+    logger->set_pattern("%H:%M:%S.%e %l %v");
+    spdlog::set_default_logger(logger);
+    const char* level = std::getenv("LOG_LEVEL");
+    std::string wanted = level ? level : otherwise;
+    spdlog::set_level(wanted == "debug"   ? spdlog::level::debug
+                      : wanted == "error" ? spdlog::level::err
+                      : wanted == "warn"  ? spdlog::level::warn
+                                          : spdlog::level::info);
+}
+
+}  // namespace barrowrun::app
--- a/src/app/main.cpp
+++ b/src/app/main.cpp
@@ -1,11 +1,8 @@
-#include <spdlog/sinks/stdout_sinks.h>
-#include <spdlog/spdlog.h>
-
 #include <CLI/CLI.hpp>
 #include <cstdio>
-#include <cstdlib>
 
 #include "api/node.hpp"
+#include "app/logging.hpp"
 #include "app/settings.hpp"
 
 int main(int argc, char** argv) {
@@ -20,16 +17,7 @@
     cli.set_version_flag("--version", "barrowrun " BARROWRUN_VERSION);
     CLI11_PARSE(cli, argc, argv);
 
-    auto logger =
-        std::make_shared<spdlog::logger>("barrowrun", std::make_shared<spdlog::sinks::stderr_sink_st>());
-    logger->set_pattern("%H:%M:%S.%e %l %v");
-    spdlog::set_default_logger(logger);
-    const char* level = std::getenv("LOG_LEVEL");
-    std::string wanted = level ? level : "info";
-    spdlog::set_level(wanted == "debug"   ? spdlog::level::debug
-                      : wanted == "error" ? spdlog::level::err
-                      : wanted == "warn"  ? spdlog::level::warn
-                                          : spdlog::level::info);
+    barrowrun::app::log_to_stderr("barrowrun");
     const std::string* reading = &config;
     try {
         auto settings = barrowrun::app::load_settings(config);
--- a/src/app/operator_settings.cpp
+++ b/src/app/operator_settings.cpp
@@ -1,35 +1,15 @@
-#include <valijson/adapters/nlohmann_json_adapter.hpp>
-#include <valijson/schema.hpp>
-#include <valijson/schema_parser.hpp>
-#include <valijson/validation_results.hpp>
-#include <valijson/validator.hpp>
-
 #include "app/operator_schema.hpp"
 #include "app/settings.hpp"
+#include "config/schema.hpp"
 
 namespace barrowrun::app {
 
 void apply_operator_settings(Settings& s, const std::string& text) {
-    using wire::Json;
-    Json given = Json::parse(text, nullptr, false);
-    if (given.is_discarded()) throw SettingsError("the operator settings are not JSON");
-    Json schema_json = Json::parse(operator_schema);
-    valijson::Schema schema;
-    valijson::SchemaParser parser;
-    valijson::adapters::NlohmannJsonAdapter schema_adapter(schema_json), given_adapter(given);
-    parser.populateSchema(schema_adapter, schema);
-    valijson::Validator validator;
-    valijson::ValidationResults results;
-    if (!validator.validate(schema, given_adapter, &results)) {
-        std::string path, why = "does not match the schema";
-        valijson::ValidationResults::Error error;
-        // The last error is the innermost.
-        while (results.popError(error)) {
-            path.clear();
-            for (auto& part : error.context) path += part;
-            why = error.description;
-        }
-        throw SettingsError(path + ": " + why);
+    wire::Json given;
+    try {
+        given = config::parse_checked(text, operator_schema);
+    } catch (const config::ConfigError& e) {
+        throw SettingsError(std::string(e.what()) == "not JSON" ? "the operator settings are not JSON" : e.what());
     }
     if (auto v = wire::count(given, "queue_bound")) s.rules.queue_bound = *v;
     if (auto v = wire::count(given, "leader_hold_ms")) s.leader_hold = std::chrono::milliseconds(*v);
--- /dev/null
+++ b/src/config/schema.cpp
@@ -0,0 +1,34 @@
+#include "config/schema.hpp"
+
+#include <valijson/adapters/nlohmann_json_adapter.hpp>
+#include <valijson/schema.hpp>
+#include <valijson/schema_parser.hpp>
+#include <valijson/validation_results.hpp>
+#include <valijson/validator.hpp>
+
+namespace barrowrun::config {
+
+nlohmann::json parse_checked(const std::string& text, const std::string& schema_text) {
+    using Json = nlohmann::json;
+    Json given = Json::parse(text, nullptr, false);
+    if (given.is_discarded()) throw ConfigError("not JSON");
+    Json schema_json = Json::parse(schema_text);
+    valijson::Schema schema;
+    valijson::SchemaParser parser;
+    valijson::adapters::NlohmannJsonAdapter schema_adapter(schema_json), given_adapter(given);
+    parser.populateSchema(schema_adapter, schema);
+    valijson::Validator validator;
+    valijson::ValidationResults results;
+    if (validator.validate(schema, given_adapter, &results)) return given;
+    std::string path, why = "does not match the schema";
+    valijson::ValidationResults::Error error;
+    // The last error is the innermost.
+    while (results.popError(error)) {
+        path.clear();
+        for (auto& part : error.context) path += part;
+        why = error.description;
+    }
+    throw ConfigError(path + ": " + why);
+}
+
+}  // namespace barrowrun::config
--- a/src/election/election.cpp
+++ b/src/election/election.cpp
@@ -271,6 +271,7 @@
                 Json body{{"from", self->node_}, {"state_ok", ok}};
                 auto reply = co_await self->peer_client_.call(peer->address, verb::post, "/peer/ping",
                                                               std::move(body), 800ms);
+                if (auto line = peer->reach.note(reply.status == 200, Clock::now())) spdlog::info("{}", *line);
                 if (reply.status != 200) co_return;
                 peer->heard = Clock::now();
                 peer->state_ok = wire::flag(reply.body, "state_ok").value_or(false);
--- a/src/election/election.hpp
+++ b/src/election/election.hpp
@@ -7,6 +7,7 @@
 
 #include "election/authority.hpp"
 #include "net/http_client.hpp"
+#include "net/reach.hpp"
 #include "state/records.hpp"
 #include "state/state_client.hpp"
 
@@ -20,6 +21,7 @@
     bool state_ok = false, leading = false;
     std::uint64_t waiting = 0;  // tasks in its queues, if it leads
     TimePoint heard{};
+    net::Reach reach{""};
 };
 
 struct Timing {
--- a/src/fleet/cloud_client.cpp
+++ b/src/fleet/cloud_client.cpp
@@ -12,7 +12,12 @@
 Task<net::Reply> CloudClient::call(verb method, std::string target, std::optional<wire::Json> body,
                                    Clock::duration deadline, bool charged) {
     if (!charged) co_await turn();
-    co_return co_await client_.call(address_, method, std::move(target), std::move(body), deadline, 4 << 20);
+    auto reply =
+        co_await client_.call(address_, method, std::move(target), std::move(body), deadline, 4 << 20);
+    // "no capacity" is an answer, though it comes as a 503.
+    bool answered = reply.status != 0 && (reply.status != 503 || wire::text(reply.body, "error") != "trouble");
+    if (auto line = reach_.note(answered, Clock::now())) spdlog::warn("{}", *line);
+    co_return reply;
 }
 
 Task<std::optional<std::vector<wire::MachineType>>> CloudClient::types() {
--- a/src/fleet/cloud_client.hpp
+++ b/src/fleet/cloud_client.hpp
@@ -1,6 +1,7 @@
 #pragma once
 // The cloud by its protocol, within its rate.
 #include "net/http_client.hpp"
+#include "net/reach.hpp"
 #include "wire/messages.hpp"
 
 namespace barrowrun::fleet {
@@ -32,6 +33,7 @@
     std::string address_;
     net::HttpClient client_;
     net::RateBudget budget_;
+    net::Reach reach_{"the cloud"};
 };
 
 }  // namespace barrowrun::fleet
--- /dev/null
+++ b/src/lab/cloud_service.cpp
@@ -0,0 +1,174 @@
+#include "lab/cloud_service.hpp"
+
+#include <signal.h>
+
+#include <filesystem>
+
+#include "depot/files.hpp"
+#include "proc/spawn.hpp"
+
+namespace barrowrun::lab {
+using namespace std::chrono_literals;
+using net::http::verb;
+using net::Response;
+using wire::Json;
+
+CloudService::CloudService(net::asio::io_context& io, CloudModel model, CloudSettings settings)
+    : io_(io),
+      model_(std::move(model)),
+      settings_(std::move(settings)),
+      server_(io, 1000, {120s, 10s, 600s, 10s}) {
+    std::filesystem::create_directories(settings_.dir);
+    // What machines of an earlier process left running: they died with it.
+    for (auto& e : std::filesystem::directory_iterator(settings_.dir))
+        if (e.is_directory()) proc::end_marked(e.path().string());
+    if (auto saved = depot::read_all(settings_.dir + "/cloud.json")) {
+        model_.restore(Json::parse(*saved), Clock::now());
+    }
+    model_.warm(settings_.warm, Clock::now());
+    keep();
+}
+
+void CloudService::keep() {
+    depot::write_whole(settings_.dir + "/cloud.json", model_.save().dump());
+}
+
+void CloudService::start() {
+    auto ended = [](std::exception_ptr e) {
+        if (e) std::rethrow_exception(e);
+    };
+    net::asio::co_spawn(io_, server_.serve([this](net::Request r) { return route(std::move(r)); }), ended);
+    net::asio::co_spawn(io_, boot_loop(), ended);
+}
+
+Task<> CloudService::boot_loop() {
+    for (;;) {
+        for (auto& name : model_.boots_due(Clock::now()))
+            net::asio::co_spawn(io_, run_machine(name), [name](std::exception_ptr e) {
+                try {
+                    if (e) std::rethrow_exception(e);
+                } catch (const std::exception& err) {
+                    spdlog::error("machine {}: {}", name, err.what());
+                }
+            });
+        co_await net::sleep_for(20ms);
+    }
+}
+
+Task<> CloudService::run_machine(std::string name) {
+    auto* m = model_.find(name);
+    auto dir = machine_dir(name);
+    std::filesystem::create_directories(dir);
+    Json settings = settings_.worker_settings;
+    settings["name"] = name;
+    settings["type"] = m->type;
+    settings["zone"] = m->zone;
+    settings["spot"] = m->spot;
+    for (auto& t : model_.types())
+        if (t.name == m->type) settings["cpus"] = t.cpus, settings["gpus"] = t.gpus, settings["mem_gb"] = t.mem_gb;
+    settings["state_dir"] = dir;
+    auto address = free_address();
+    settings["listen"] = address;
+    depot::write_whole(dir + "/worker.json", settings.dump(2));
+    Child::What what{{settings_.worker, "--config", dir + "/worker.json"}, dir + "/log", {}, true};
+    for (;;) {
+        auto& running = running_[name];
+        running.child = std::make_shared<Child>(io_, what);
+        auto child = running.child;
+        model_.came_up(name, address, Clock::now());
+        auto status = co_await child->wait();
+        if (running_[name].ending) co_return;
+        // A worker that ends by itself is started again by its machine, as an init system would.
+        spdlog::info("the worker of {} ended with {}: it is started again", name, status);
+        co_await net::sleep_for(300ms);
+        if (running_[name].ending) co_return;
+    }
+}
+
+void CloudService::end_machine(const std::string& name) {
+    auto it = running_.find(name);
+    if (it == running_.end()) return;
+    it->second.ending = true;
+    it->second.child->signal(SIGKILL);
+    proc::end_marked(machine_dir(name));
+}
+
+void CloudService::end_all() {
+    for (auto& [name, r] : running_) end_machine(name);
+}
+
+Task<> CloudService::resume_later(std::string name, Clock::duration after) {
+    co_await net::sleep_for(after);
+    auto it = running_.find(name);
+    if (it == running_.end() || it->second.ending) co_return;
+    for (auto pid : proc::marked(machine_dir(name))) ::kill(pid, SIGCONT);
+    it->second.child->signal(SIGCONT);
+}
+
+Response CloudService::fault(const Json& body) {
+    auto kind = wire::text(body, "kind").value_or("");
+    auto what = wire::text(body, "what").value_or("");
+    auto length = wire::amount(body, "for_s").value_or(10);
+    bool only_worker = what.starts_with("worker");
+    auto colon = what.find(':');
+    auto name = colon == std::string::npos ? "" : what.substr(colon + 1);
+    if (name.empty()) {
+        auto alive = model_.alive();
+        std::erase_if(alive, [&](auto& n) { return !running_.contains(n); });
+        if (alive.empty()) return {404, {{"error", "no machine is up"}}};
+        name = alive[random_() % alive.size()];
+    }
+    auto it = running_.find(name);
+    if (it == running_.end() || it->second.ending) return {404, {{"error", "no such machine"}}};
+    if (kind == "kill" && only_worker) {
+        it->second.child->signal(SIGKILL);
+    } else if (kind == "kill") {
+        end_machine(name);
+        model_.died(name, Clock::now());
+    } else if (kind == "hang") {
+        // The machine as a whole: its worker and all that it runs.
+        it->second.child->signal(SIGSTOP);
+        for (auto pid : proc::marked(machine_dir(name))) ::kill(pid, SIGSTOP);
+        net::asio::co_spawn(io_, resume_later(name, secs(length)), net::asio::detached);
+    } else {
+        return {400, {{"error", "machines can be killed or hung"}}};
+    }
+    return {200, {{"what", name}}};
+}
+
+Task<Response> CloudService::route(net::Request request) {
+    auto target = Target::parse(request.target);
+    auto decoded = wire::decode(request.body);
+    const Json body = decoded ? *decoded : Json::object();
+    if (target.path == "/lab/machine") co_return fault(body);
+    if (target.path == "/lab/fault") co_return faults_.set(request.body, Clock::now());
+    Response refusal;
+    if (!co_await faults_.pass(refusal)) co_return refusal;
+    auto now = Clock::now();
+    if (!model_.within_rate(now)) co_return Response{429, {{"error", "over the rate"}}};
+    const bool get = request.method == verb::get, post = request.method == verb::post;
+    if (get && target.path == "/flavors") co_return Response{200, wire::types_json(model_.types())};
+    if (get && target.path == "/rentals")
+        co_return Response{200, wire::machine_list_json(
+                                    model_.list(target.text("since"), target.number("page").value_or(500), now))};
+    if (post && target.path == "/rentals") {
+        auto r = wire::parse_rent(body);
+        if (!r || !model_.known(*r)) co_return Response{400, {{"error", "malformed"}}};
+        auto names = model_.rent(*r, now);
+        if (!names) co_return Response{503, {{"error", "no capacity"}}};
+        keep();
+        co_return Response{200, wire::machine_names_json(*names)};
+    }
+    if (post && target.path == "/rentals/return") {
+        auto names = wire::parse_machine_names(body);
+        if (!names || names->size() > 100) co_return Response{400, {{"error", "malformed"}}};
+        // They are gone by the time of the answer.
+        for (auto& n : *names) end_machine(n);
+        model_.returned(*names, Clock::now());
+        keep();
+        co_return Response{200, Json::object()};
+    }
+    co_return Response{400, {{"error", "no such request"}}};
+}
+
+}  // namespace barrowrun::lab
--- /dev/null
+++ b/src/lab/main.cpp
@@ -0,0 +1,225 @@
+#include <signal.h>
+#include <sys/prctl.h>
+#include <unistd.h>
+
+#include <CLI/CLI.hpp>
+#include <cstdio>
+#include <filesystem>
+
+#include "app/logging.hpp"
+#include "depot/files.hpp"
+#include "lab/cloud_service.hpp"
+#include "lab/site.hpp"
+#include "lab/state_service.hpp"
+
+using namespace barrowrun;
+using namespace std::chrono_literals;
+namespace asio = boost::asio;
+
+namespace {
+
+int run_state(const std::string& listen, const std::string& file, const lab::StateLimits& limits) {
+    asio::io_context io{1};
+    lab::StateService service(io, file, limits);
+    service.listen(listen);
+    service.start();
+    spdlog::info("state stand-in on {}", listen);
+    io.run();
+    return 0;
+}
+
+int run_cloud(const std::string& listen, const std::string& dir, const std::string& config) {
+    // What its machines leave behind comes to this process rather than to init.
+    ::prctl(PR_SET_CHILD_SUBREAPER, 1);
+    auto j = wire::Json::parse(depot::read_all(config).value());
+    std::vector<wire::MachineType> types;
+    for (auto& t : j.at("types")) {
+        wire::MachineType m;
+        m.name = t.at("name");
+        m.cpus = t.at("cpus"), m.gpus = t.value("gpus", 0.0), m.mem_gb = t.at("mem_gb");
+        m.cache_gb = 100, m.fetch_gb_per_s = 100;
+        m.price = t.value("price", 1.0), m.spot_price = m.price / 3, m.boot_s = t.value("boot_s", 1.0);
+        m.zones = t.value("zones", std::vector<std::string>{"lab"});
+        types.push_back(std::move(m));
+    }
+    lab::CloudLimits limits{j.value("rps", 20.0), j.value("list_lag_s", 1.0), j.value("machines", std::size_t{4})};
+    lab::CloudSettings settings{dir, j.at("worker"), j.at("worker_settings"), j.value("warm", std::size_t{0})};
+    asio::io_context io{1};
+    lab::CloudService service(io, lab::CloudModel(types, limits, std::random_device{}()), settings);
+    service.listen(listen);
+    service.start();
+    spdlog::info("cloud stand-in on {}", listen);
+    asio::signal_set signals(io, SIGTERM, SIGINT);
+    signals.async_wait([&](auto ec, int) {
+        if (!ec) io.stop();
+    });
+    io.run();
+    service.end_all();
+    return 0;
+}
+
+net::Task<int> command_in(asio::io_context& io, lab::Site& site, std::vector<std::string> argv,
+                          std::shared_ptr<lab::Child>& child, bool& asked_to_end) {
+    if (!co_await site.ready(30s)) {
+        std::fprintf(stderr, "barrowrun-lab: the site did not come up within 30 s; see the logs in its directory\n");
+        co_return 1;
+    }
+    if (asked_to_end) co_return 130;
+    child = std::make_shared<lab::Child>(io, lab::Child::What{argv, "", site.environment(), false});
+    co_return co_await child->wait();
+}
+
+int run_site(lab::SiteSettings settings, std::vector<std::string> argv, bool keep_dir) {
+    asio::io_context io{1};
+    lab::Site site(io, settings);
+    site.start();
+    std::shared_ptr<lab::Child> child;
+    bool asked_to_end = false;
+    int status = 0;
+    asio::signal_set signals(io, SIGTERM, SIGINT, SIGHUP);
+    signals.async_wait([&](auto ec, int number) {
+        if (ec) return;
+        asked_to_end = true;
+        status = 128 + number;
+        if (child && child->alive()) {
+            // The command shares the terminal, so it has had its SIGINT; it gets a moment to end.
+            child->signal(SIGTERM);
+            auto timer = std::make_shared<asio::steady_timer>(io, 3s);
+            timer->async_wait([&io, timer](auto) { io.stop(); });
+        } else {
+            io.stop();
+        }
+    });
+    if (argv.empty()) {
+        auto up = [&]() -> net::Task<> {
+            bool good = co_await site.ready(30s);
+            std::printf("%s\n", good ? "the site is up" : "the site is not up after 30 s");
+            for (auto& [k, v] : site.environment()) std::printf("export %s=%s\n", k.c_str(), v.c_str());
+            std::fflush(stdout);
+        };
+        asio::co_spawn(io, up(), asio::detached);
+    } else {
+        asio::co_spawn(io, command_in(io, site, argv, child, asked_to_end), [&](std::exception_ptr e, int s) {
+            if (e) {
+                try {
+                    std::rethrow_exception(e);
+                } catch (const std::exception& err) {
+                    std::fprintf(stderr, "barrowrun-lab: %s\n", err.what());
+                }
+                s = 1;
+            }
+            if (!asked_to_end) status = s;
+            io.stop();
+        });
+    }
+    io.run();
+    if (child && child->alive()) child->signal(SIGKILL);
+    site.stop();
+    if (!keep_dir) {
+        std::error_code ec;
+        std::filesystem::remove_all(settings.dir, ec);
+    }
+    return status;
+}
+
+int bring_about(const std::string& control, const std::string& kind, const std::string& what, double for_s) {
+    asio::io_context io{1};
+    net::HttpClient client(io);
+    int status = 1;
+    auto call = [&]() -> net::Task<> {
+        wire::Json body{{"kind", kind}, {"what", what}, {"for_s", for_s}};
+        auto reply = co_await client.call(control, net::http::verb::post, "/fault", body, 10s);
+        if (reply.status == 200) {
+            std::printf("%s %s\n", kind.c_str(), wire::text(reply.body, "what").value_or(what).c_str());
+            status = 0;
+        } else if (reply.status == 0) {
+            std::fprintf(stderr, "barrowrun-lab: no site answers at %s\n", control.c_str());
+        } else {
+            std::fprintf(stderr, "barrowrun-lab: %s\n", wire::text(reply.body, "error").value_or("refused").c_str());
+            status = reply.status == 400 || reply.status == 404 ? 2 : 1;
+        }
+    };
+    asio::co_spawn(io, call(), asio::detached);
+    io.run();
+    return status;
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+    CLI::App cli{"barrowrun-lab: a site of loopback processes, and the faults it should ride out"};
+    cli.require_subcommand(1);
+    cli.set_version_flag("--version", "barrowrun-lab " BARROWRUN_VERSION);
+
+    lab::SiteSettings site;
+    std::string dir;
+    std::vector<std::string> command;
+    auto* run = cli.add_subcommand("run", "start a site, run a command in it, stop the site");
+    auto* up = cli.add_subcommand("up", "start a site and keep it until SIGINT");
+    for (auto* sub : {run, up}) {
+        sub->add_option("--controllers", site.controllers, "controller nodes")->check(CLI::Range(1, 9));
+        sub->add_option("--machines", site.machines, "machines that can be rented, all up at the start")
+            ->check(CLI::Range(1, 64));
+        sub->add_option("--cpus", site.cpus, "CPUs of each")->check(CLI::Range(0.1, 1024.0));
+        sub->add_option("--gpus", site.gpus, "cards of each")->check(CLI::Range(0.0, 64.0));
+        sub->add_option("--mem-gb", site.mem_gb, "memory of each")->check(CLI::Range(0.1, 65536.0));
+        sub->add_option("--report-s", site.report_s, "workers' report interval")->check(CLI::Range(0.1, 60.0));
+        sub->add_option("--lease-s", site.lease_s, "workers' lease")->check(CLI::Range(2.0, 600.0));
+        sub->add_option("--dir", dir, "where the site keeps its files (default: a directory that is removed)");
+        sub->add_flag("--relays", site.relays, "lead all ways through relays, so that they can be cut and slowed");
+    }
+    run->add_option("command", command, "the command, after --")->required();
+    run->positionals_at_end();
+
+    std::string listen, file, config;
+    lab::StateLimits limits;
+    auto* state = cli.add_subcommand("state", "the state service stand-in alone");
+    state->add_option("--listen", listen)->required();
+    state->add_option("--file", file, "its database")->required();
+    state->add_option("--rps", limits.rps);
+    state->add_option("--write-rps", limits.write_rps);
+    auto* cloud = cli.add_subcommand("cloud", "the cloud stand-in alone");
+    cloud->add_option("--listen", listen)->required();
+    cloud->add_option("--dir", dir)->required();
+    cloud->add_option("--config", config)->required();
+
+    std::string kind, what, control;
+    double for_s = 10;
+    auto* fault = cli.add_subcommand("fault", "bring a fault about in a running site");
+    fault->add_option("kind", kind, "kill, cut, hang, slow or refuse")
+        ->required()
+        ->check(CLI::IsMember({"kill", "cut", "hang", "slow", "refuse"}));
+    fault->add_option("what", what,
+                      "leader, barrow-N, state, state:barrow-N, cloud, machine[:NAME], worker[:NAME] or any")
+        ->required();
+    fault->add_option("--for", for_s, "seconds")->check(CLI::Range(0.0, 3600.0));
+    fault->add_option("--dir", dir, "the site's directory, if BARROWRUN_LAB is not set");
+    CLI11_PARSE(cli, argc, argv);
+    app::log_to_stderr("lab", *state || *cloud ? "info" : "warn");
+    try {
+        if (*state) return run_state(listen, file, limits);
+        if (*cloud) return run_cloud(listen, dir, config);
+        if (*fault) {
+            if (const char* at = std::getenv("BARROWRUN_LAB"); at && dir.empty()) control = at;
+            else if (auto text = depot::read_all((dir.empty() ? "." : dir) + std::string("/site.json")))
+                control = wire::Json::parse(*text).at("control");
+            else {
+                std::fprintf(stderr, "barrowrun-lab: set BARROWRUN_LAB or --dir: no site is known\n");
+                return 2;
+            }
+            return bring_about(control, kind, what, for_s);
+        }
+        bool keep = !dir.empty();
+        if (!keep) {
+            std::string pattern = (std::filesystem::temp_directory_path() / "barrowrun-lab-XXXXXX").string();
+            if (!::mkdtemp(pattern.data())) throw std::runtime_error("no temporary directory can be made");
+            dir = pattern;
+        }
+        site.dir = dir;
+        site.programs = std::filesystem::read_symlink("/proc/self/exe").parent_path().string();
+        return run_site(site, command, keep);
+    } catch (const std::exception& e) {
+        std::fprintf(stderr, "barrowrun-lab: %s\n", e.what());
+        return 1;
+    }
+}
--- /dev/null
+++ b/src/lab/service.cpp
@@ -0,0 +1,66 @@
+#include "lab/service.hpp"
+
+#include <charconv>
+
+namespace barrowrun::lab {
+
+Target Target::parse(const std::string& target) {
+    Target out;
+    auto mark = target.find('?');
+    out.path = target.substr(0, mark);
+    while (mark != std::string::npos) {
+        auto end = target.find('&', mark + 1);
+        auto pair = target.substr(mark + 1, end == std::string::npos ? end : end - mark - 1);
+        auto eq = pair.find('=');
+        if (eq != std::string::npos) out.query[pair.substr(0, eq)] = pair.substr(eq + 1);
+        mark = end;
+    }
+    return out;
+}
+
+std::string Target::text(const std::string& name) const {
+    auto it = query.find(name);
+    return it == query.end() ? "" : it->second;
+}
+
+std::optional<std::uint64_t> Target::number(const std::string& name) const {
+    auto it = query.find(name);
+    if (it == query.end()) return std::nullopt;
+    std::uint64_t n = 0;
+    auto [p, error] = std::from_chars(it->second.data(), it->second.data() + it->second.size(), n);
+    if (error != std::errc{} || p != it->second.data() + it->second.size()) return std::nullopt;
+    return n;
+}
+
+net::Response Faults::set(const std::string& body, TimePoint now) {
+    auto decoded = wire::decode(body);
+    auto kind = decoded ? wire::text(*decoded, "kind").value_or("") : "";
+    auto length = decoded ? wire::amount(*decoded, "for_s").value_or(10) : 10;
+    if (kind == "refuse") kind_ = Kind::refuse;
+    else if (kind == "cut") kind_ = Kind::cut;
+    else if (kind == "slow") kind_ = Kind::slow;
+    else return {400, {{"error", "kind: expected refuse, cut or slow"}}};
+    until_ = now + secs(length);
+    return {};
+}
+
+Task<bool> Faults::pass(net::Response& answer) {
+    switch (at(Clock::now())) {
+        case Kind::none:
+            break;
+        case Kind::refuse:
+            answer = {503, {{"error", "trouble"}}};
+            co_return false;
+        case Kind::cut:
+            // Silence: the caller gives up long before. What it asked for is not done.
+            while (at(Clock::now()) == Kind::cut) co_await net::sleep_for(std::chrono::milliseconds(50));
+            answer = {503, {{"error", "trouble"}}};
+            co_return false;
+        case Kind::slow:
+            co_await net::sleep_for(delay_);
+            break;
+    }
+    co_return true;
+}
+
+}  // namespace barrowrun::lab
--- /dev/null
+++ b/src/lab/site.cpp
@@ -0,0 +1,243 @@
+#include "lab/site.hpp"
+
+#include <signal.h>
+
+#include <filesystem>
+
+#include "depot/files.hpp"
+#include "proc/spawn.hpp"
+
+namespace barrowrun::lab {
+using namespace std::chrono_literals;
+using net::http::verb;
+using net::Response;
+using wire::Json;
+
+Site::Site(net::asio::io_context& io, SiteSettings settings)
+    : io_(io), settings_(std::move(settings)), control_(io, 100), client_(io) {
+    settings_.dir = std::filesystem::absolute(settings_.dir).lexically_normal().string();
+    for (auto* d : {"logs", "machines", "depot"}) std::filesystem::create_directories(settings_.dir + "/" + d);
+}
+
+std::string Site::way(const std::string& name, const std::string& to) {
+    if (!settings_.relays) return to;
+    auto front = free_address();
+    auto relay = std::make_unique<Relay>(io_, front, to);
+    relay->start();
+    relays_.emplace(name, std::move(relay));
+    return front;
+}
+
+std::map<std::string, std::string> Site::environment() const {
+    std::string site;
+    for (auto& n : nodes_) site += (site.empty() ? "" : ",") + n;
+    return {{"BARROWRUN_SITE", site},
+            {"BARROWRUN_DEPOT", depot()},
+            {"BARROWRUN_TEAM", settings_.team},
+            {"BARROWRUN_LAB", control_.address()}};
+}
+
+void Site::write_controller(int i) {
+    const auto name = "barrow-" + std::to_string(i);
+    Json members = Json::array();
+    for (int k = 0; k < settings_.controllers; ++k) {
+        if (k == i) continue;
+        auto other = "barrow-" + std::to_string(k);
+        members.push_back({{"node_name", other}, {"area", "lab"}, {"addr", way(other, internal_[static_cast<std::size_t>(k)])}});
+    }
+    Json s{{"node_name", name},
+           {"area", "lab"},
+           {"serve_on", public_[static_cast<std::size_t>(i)]},
+           {"internal_addr", internal_[static_cast<std::size_t>(i)]},
+           {"members", members},
+           {"external", {{"cloud", way("cloud", cloud_)}, {"state", way("state:" + name, state_)}}},
+           {"deployment",
+            {{"size", settings_.controllers},
+             {"zones", {"lab"}},
+             {"teams", {{{"name", settings_.team}, {"cpus", 0.0}, {"gpus", 0.0}, {"cpus_max", 0.0}, {"gpus_max", 0.0}}}},
+             {"objectives", Json::array()},
+             {"workers",
+              {{"report_s", settings_.report_s},
+               {"lease_s", settings_.lease_s},
+               {"gang_wait_s", 10.0},
+               {"gang_peer_s", 2.0},
+               {"cancel_s", 2 * settings_.lease_s}}},
+             {"state", {{"rps", 4000.0}, {"write_rps", 2000.0}, {"value_kb", 32.0}, {"txn_ops", 32}}},
+             {"cloud", {{"rps", 20.0}, {"list_lag_s", 1.0}}},
+             {"quota", {{"cores", 1.0}, {"ram_mb", 256.0}, {"max_sockets", 2000}}},
+             {"clock_error_ms", 5.0}}}};
+    depot::write_whole(settings_.dir + "/" + name + ".json", s.dump(2));
+}
+
+void Site::start() {
+    control_.listen("127.0.0.1:0");
+    state_ = free_address();
+    cloud_ = free_address();
+    for (int i = 0; i < settings_.controllers; ++i) {
+        public_.push_back(free_address());
+        internal_.push_back(free_address());
+        nodes_.push_back(way("barrow-" + std::to_string(i), public_.back()));
+    }
+    Json operators{{"idle_return_s", 3600}, {"leader_hold_ms", static_cast<int>(settings_.hold_s * 1000)}};
+    depot::write_whole(settings_.dir + "/operator.json", operators.dump(2));
+    Json controllers = Json::object();
+    for (int i = 0; i < settings_.controllers; ++i)
+        controllers["barrow-" + std::to_string(i)] = nodes_[static_cast<std::size_t>(i)];
+    Json cloud{{"types",
+                {{{"name", "box"},
+                  {"cpus", settings_.cpus},
+                  {"gpus", settings_.gpus},
+                  {"mem_gb", settings_.mem_gb},
+                  {"price", 1.0},
+                  {"boot_s", 0.2}}}},
+               {"machines", settings_.machines},
+               {"warm", settings_.machines},
+               {"rps", 20},
+               {"list_lag_s", 1.0},
+               {"worker", settings_.programs + "/barrowrun-worker"},
+               {"worker_settings",
+                {{"controllers", controllers},
+                 {"depot", depot()},
+                 {"report_s", settings_.report_s},
+                 {"lease_s", settings_.lease_s},
+                 {"gang_wait_s", 10.0},
+                 {"gang_peer_s", 2.0}}}};
+    depot::write_whole(settings_.dir + "/cloud.json", cloud.dump(2));
+    const auto logs = settings_.dir + "/logs/";
+    const auto lab = settings_.programs + "/barrowrun-lab";
+    parts_["state"] = {{{lab, "state", "--listen", state_, "--file", settings_.dir + "/state.db"}, logs + "state", {}, true},
+                       nullptr,
+                       settings_.state_back};
+    parts_["cloud"] = {{{lab, "cloud", "--listen", cloud_, "--dir", settings_.dir + "/machines", "--config",
+                         settings_.dir + "/cloud.json"},
+                        logs + "cloud",
+                        {},
+                        true},
+                       nullptr,
+                       1s};
+    for (int i = 0; i < settings_.controllers; ++i) {
+        auto name = "barrow-" + std::to_string(i);
+        write_controller(i);
+        parts_[name] = {{{settings_.programs + "/barrowrun", "--operator", settings_.dir + "/operator.json",
+                          "--config", settings_.dir + "/" + name + ".json"},
+                         logs + name,
+                         {},
+                         true},
+                        nullptr,
+                        settings_.controller_back};
+    }
+    for (auto& [name, part] : parts_) {
+        part.child = std::make_shared<Child>(io_, part.what);
+        net::asio::co_spawn(io_, keep(name), net::asio::detached);
+    }
+    net::asio::co_spawn(io_, control_.serve([this](net::Request r) { return route(std::move(r)); }),
+                        net::asio::detached);
+    Json about{{"control", control_.address()}, {"nodes", nodes_}, {"depot", depot()}, {"pid", ::getpid()}};
+    depot::write_whole(settings_.dir + "/site.json", about.dump(2));
+}
+
+Task<> Site::keep(std::string name) {
+    auto& part = parts_.at(name);
+    for (;;) {
+        auto child = part.child;
+        auto status = co_await child->wait();
+        if (stopping_) co_return;
+        spdlog::info("{} ended with {}: it is started again", name, status);
+        co_await net::sleep_for(part.back);
+        if (stopping_) co_return;
+        part.child = std::make_shared<Child>(io_, part.what);
+    }
+}
+
+void Site::stop() {
+    stopping_ = true;
+    for (auto& [name, part] : parts_) part.child->signal(SIGKILL);
+    std::error_code ec;
+    for (auto& e : std::filesystem::directory_iterator(settings_.dir + "/machines", ec))
+        if (e.is_directory()) proc::end_marked(e.path().string());
+    std::filesystem::remove(settings_.dir + "/site.json", ec);
+}
+
+Task<bool> Site::ready(Clock::duration most) {
+    const auto end = Clock::now() + most;
+    // A job that nobody submitted is unknown once the state service has said so; a submission that is not one
+    // is refused only by a node that looks at it.
+    while (Clock::now() < end) {
+        std::size_t good = 0;
+        for (auto& node : nodes_) {
+            auto reply = co_await client_.call(node, verb::get, "/submissions/wk-0", std::nullopt, 2s);
+            good += reply.status == 404;
+        }
+        auto catalog = co_await client_.call(state_, verb::get, "/kv/catalog", std::nullopt, 1s);
+        if (good == nodes_.size() && catalog.status == 200) co_return true;
+        co_await net::sleep_for(50ms);
+    }
+    co_return false;
+}
+
+Task<std::string> Site::leader() {
+    auto reply = co_await client_.call(state_, verb::get, "/kv/leader", std::nullopt, 1s);
+    const Json* value = reply.status == 200 ? wire::find(reply.body, "value") : nullptr;
+    co_return value ? wire::text(*value, "node").value_or("") : "";
+}
+
+Task<> Site::resume_later(std::string name, Clock::duration after) {
+    auto child = parts_.at(name).child;
+    co_await net::sleep_for(after);
+    child->signal(SIGCONT);
+}
+
+Task<Response> Site::route(net::Request request) {
+    auto body = wire::decode(request.body);
+    if (request.target == "/fault" && body) co_return co_await fault(std::move(*body));
+    co_return Response{404, {{"error", "no such path"}}};
+}
+
+Task<Response> Site::fault(Json body) {
+    auto kind = wire::text(body, "kind").value_or("");
+    auto what = wire::text(body, "what").value_or("");
+    auto length = secs(wire::amount(body, "for_s").value_or(10));
+    if (what == "leader") {
+        what = co_await leader();
+        if (what.empty()) co_return Response{404, {{"error", "nobody leads"}}};
+    }
+    if (what == "any") {
+        std::vector<std::string> all{"machine", "worker"};
+        for (auto& [name, part] : parts_)
+            if (name != "cloud") all.push_back(name);
+        what = all[random_() % all.size()];
+    }
+    body["what"] = what;
+    if (what.starts_with("machine") || what.starts_with("worker")) {
+        auto reply = co_await client_.call(cloud_, verb::post, "/lab/machine", body, 5s);
+        co_return Response{reply.status ? reply.status : 503, std::move(reply.body)};
+    }
+    auto it = parts_.find(what);
+    if (kind == "kill" || kind == "hang") {
+        if (it == parts_.end()) co_return Response{404, {{"error", "there is no " + what}}};
+        it->second.child->signal(kind == "kill" ? SIGKILL : SIGSTOP);
+        if (kind == "hang") net::asio::co_spawn(io_, resume_later(what, length), net::asio::detached);
+        co_return Response{200, {{"what", what}}};
+    }
+    if (kind != "cut" && kind != "slow" && kind != "refuse")
+        co_return Response{400, {{"error", "expected kill, cut, hang, slow or refuse"}}};
+    if (what == "state" || what == "cloud") {
+        // All its users at once: the service itself keeps silent, refuses or takes its time.
+        Json ask{{"kind", kind}, {"for_s", Seconds(length).count()}};
+        auto reply = co_await client_.call(what == "state" ? state_ : cloud_, verb::post, "/lab/fault",
+                                           std::move(ask), 2s);
+        co_return Response{reply.status ? reply.status : 503, {{"what", what}}};
+    }
+    auto [first, last] = relays_.equal_range(what);
+    if (first == last || kind == "refuse") {
+        std::string why = settings_.relays ? "there is no way to " + what : "ways can be cut only with --relays";
+        co_return Response{400, {{"error", why}}};
+    }
+    for (auto r = first; r != last; ++r) {
+        if (kind == "cut") r->second->cut(Clock::now() + length);
+        else r->second->slow(Clock::now() + length);
+    }
+    co_return Response{200, {{"what", what}}};
+}
+
+}  // namespace barrowrun::lab
--- /dev/null
+++ b/src/lab/site.hpp
@@ -0,0 +1,61 @@
+#pragma once
+// A whole site on loopback: state service and cloud stand-ins, controllers, and workers as the cloud's machines.
+// Processes that end are started again; faults are brought about on request.
+#include <random>
+
+#include "lab/child.hpp"
+#include "lab/relay.hpp"
+#include "net/http_client.hpp"
+#include "net/http_server.hpp"
+
+namespace barrowrun::lab {
+
+struct SiteSettings {
+    std::string dir, programs;  // programs: where barrowrun, barrowrun-worker and barrowrun-lab are
+    int controllers = 3, machines = 4;
+    double cpus = 2, mem_gb = 4, gpus = 0;
+    bool relays = false;  // so that ways can be cut and slowed
+    double report_s = 1, lease_s = 8, hold_s = 2;
+    std::string team = "lab";
+    Clock::duration controller_back = std::chrono::seconds(1), state_back = std::chrono::milliseconds(500);
+};
+
+class Site {
+  public:
+    Site(net::asio::io_context& io, SiteSettings settings);
+    // Starts everything; throws if something can't be.
+    void start();
+    // Once the nodes answer from the state service and know the machine types. False: not within the time.
+    Task<bool> ready(Clock::duration most);
+    void stop();  // kills everything, also what tasks have left
+    const std::vector<std::string>& nodes() const { return nodes_; }  // users' addresses
+    std::string depot() const { return settings_.dir + "/depot"; }
+    std::string control() const { return control_.address(); }
+    std::map<std::string, std::string> environment() const;
+
+  private:
+    struct Part {
+        Child::What what;
+        std::shared_ptr<Child> child;
+        Clock::duration back;
+    };
+    Task<> keep(std::string name);
+    Task<net::Response> route(net::Request request);
+    Task<net::Response> fault(wire::Json body);
+    Task<> resume_later(std::string name, Clock::duration after);
+    Task<std::string> leader();
+    std::string way(const std::string& name, const std::string& to);  // the address in front of it
+    void write_controller(int i);
+    net::asio::io_context& io_;
+    SiteSettings settings_;
+    net::HttpServer control_;
+    net::HttpClient client_;
+    std::map<std::string, Part> parts_;
+    std::multimap<std::string, std::unique_ptr<Relay>> relays_;  // by what they lead to
+    std::vector<std::string> nodes_, public_, internal_;         // as others see them; as they listen
+    std::string state_, cloud_;
+    bool stopping_ = false;
+    std::mt19937 random_{std::random_device{}()};
+};
+
+}  // namespace barrowrun::lab
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -4,14 +4,14 @@
 
 namespace barrowrun::net {
 
-std::optional<asio::ip::tcp::endpoint> parse_endpoint(const std::string& address) {
+std::optional<asio::ip::tcp::endpoint> parse_endpoint(const std::string& address, bool any_port) {
     auto colon = address.rfind(':');
     if (colon == std::string::npos) return std::nullopt;
     boost::system::error_code ec;
     auto ip = asio::ip::make_address(address.substr(0, colon), ec);
     unsigned port = 0;
     auto [p, err] = std::from_chars(address.data() + colon + 1, address.data() + address.size(), port);
-    if (ec || err != std::errc{} || p != address.data() + address.size() || port == 0 || port > 65535)
+    if (ec || err != std::errc{} || p != address.data() + address.size() || (port == 0 && !any_port) || port > 65535)
         return std::nullopt;
     return asio::ip::tcp::endpoint(ip, static_cast<unsigned short>(port));
 }
@@ -81,6 +81,11 @@
     auto& response = parser.get();
     reply.status = static_cast<int>(response.result_int());
     reply.may_execute = false;
+    if (auto after = response[http::field::retry_after]; !after.empty()) {
+        unsigned s = 0;
+        auto [p, err] = std::from_chars(after.data(), after.data() + after.size(), s);
+        if (err == std::errc{} && s <= 3600) reply.retry_after = std::chrono::seconds(s);
+    }
     if (!response.body().empty()) {
         auto decoded = wire::decode(response.body());
         if (decoded)
--- a/src/net/http_client.hpp
+++ b/src/net/http_client.hpp
@@ -20,6 +20,7 @@
     bool may_execute = false;  // without an answer: the request may have reached the other side, or still may
     Json body;
     bool garbage = false;  // an answer whose body could not be read
+    std::optional<std::chrono::seconds> retry_after{};
 };
 
 class HttpClient {
@@ -50,6 +51,7 @@
     std::map<std::string, std::vector<std::unique_ptr<Connection>>> idle_;
 };
 
-std::optional<asio::ip::tcp::endpoint> parse_endpoint(const std::string& address);
+// `any_port`: to listen on; port 0 lets the system choose.
+std::optional<asio::ip::tcp::endpoint> parse_endpoint(const std::string& address, bool any_port = false);
 
 }  // namespace barrowrun::net
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -1,30 +1,67 @@
 #include "net/http_server.hpp"
 
+#include <unordered_map>
+
 #include "net/http_client.hpp"
 
 namespace barrowrun::net {
-namespace {
 
-struct Counted {
-    std::shared_ptr<std::size_t> count;
-    explicit Counted(std::shared_ptr<std::size_t> c) : count(std::move(c)) { ++*count; }
-    Counted(Counted&& o) noexcept : count(std::move(o.count)) {}
-    ~Counted() {
-        if (count) --*count;
+struct HttpServer::Shared {
+    Rooms rooms;
+    ServerTimes times;
+    Handler handler;
+    Classify classify;
+    std::unordered_map<Rooms::Id, beast::tcp_stream*> streams;
+    Shared(std::size_t most, ServerTimes t) : rooms(most), times(t) {}
+    void close(const std::optional<Rooms::Id>& id) {
+        if (!id) return;
+        auto it = streams.find(*id);
+        if (it == streams.end()) return;
+        boost::system::error_code ec;
+        it->second->socket().close(ec);
     }
 };
 
-Task<> connection(asio::ip::tcp::socket socket, std::shared_ptr<Handler> handler,
-                  [[maybe_unused]] Counted counted) {
+HttpServer::HttpServer(asio::io_context& io, std::size_t max_connections, ServerTimes times)
+    : io_(io), shared_(std::make_shared<Shared>(max_connections, times)) {}
+
+std::size_t HttpServer::connections() const {
+    return shared_->rooms.size();
+}
+
+std::string HttpServer::address() const {
+    auto at = acceptor_->local_endpoint();
+    return at.address().to_string() + ":" + std::to_string(at.port());
+}
+
+Task<> HttpServer::connection(asio::ip::tcp::socket socket, std::shared_ptr<Shared> shared, Rooms::Id id) {
     beast::tcp_stream stream(std::move(socket));
+    struct Present {
+        Shared& shared;
+        Rooms::Id id;
+        Present(Shared& s, Rooms::Id i, beast::tcp_stream* at) : shared(s), id(i) { s.streams[i] = at; }
+        ~Present() {
+            shared.streams.erase(id);
+            shared.rooms.left(id);
+        }
+    } present(*shared, id, &stream);
     beast::flat_buffer buffer;
     boost::system::error_code ec;
     stream.socket().set_option(asio::ip::tcp::no_delay(true), ec);
+    bool first = true;
     for (;;) {
         http::request_parser<http::string_body> parser;
         parser.body_limit(wire::max_body);
         parser.header_limit(8 * 1024);
-        stream.expires_after(std::chrono::seconds(120));
+        if (buffer.size() == 0) {
+            stream.expires_after(first ? shared->times.first : shared->times.idle);
+            auto n = co_await stream.async_read_some(buffer.prepare(4096),
+                                                     asio::redirect_error(asio::use_awaitable, ec));
+            if (ec) break;
+            buffer.commit(n);
+        }
+        first = false;
+        stream.expires_after(shared->times.request);
         co_await http::async_read(stream, buffer, parser, asio::redirect_error(asio::use_awaitable, ec));
         Response answer;
         bool keep = false;
@@ -37,12 +74,20 @@
             keep = parser.get().keep_alive();
             Request request{parser.get().method(), std::string(parser.get().target()),
                             std::move(parser.get().body())};
+            auto verdict =
+                shared->rooms.request(id, shared->classify ? shared->classify(request) : Caller::system);
+            shared->close(verdict.evict);
             stream.expires_never();
-            try {
-                answer = co_await (*handler)(std::move(request));
-            } catch (const std::exception& e) {
-                spdlog::error("a request failed: {}", e.what());
-                answer = {503, {{"error", "internal"}}, 1};
+            if (!verdict.serve) {
+                answer = {503, {{"error", "too many connections"}}, 1};
+                keep = false;
+            } else {
+                try {
+                    answer = co_await shared->handler(std::move(request));
+                } catch (const std::exception& e) {
+                    spdlog::error("a request failed: {}", e.what());
+                    answer = {503, {{"error", "internal"}}, 1};
+                }
             }
         }
         http::response<http::string_body> response{static_cast<http::status>(answer.status), 11};
@@ -52,17 +97,16 @@
         response.body() = wire::encode(answer.body);
         response.keep_alive(keep);
         response.prepare_payload();
-        stream.expires_after(std::chrono::seconds(10));
+        stream.expires_after(shared->times.answer);
         co_await http::async_write(stream, response, asio::redirect_error(asio::use_awaitable, ec));
         if (ec || !keep) break;
+        shared->rooms.answered(id);
     }
     stream.socket().shutdown(asio::ip::tcp::socket::shutdown_both, ec);
 }
 
-}  // namespace
-
 void HttpServer::listen(const std::string& address) {
-    auto endpoint = parse_endpoint(address);
+    auto endpoint = parse_endpoint(address, true);
     if (!endpoint) throw std::runtime_error("not an address: " + address);
     acceptor_.emplace(io_);
     acceptor_->open(endpoint->protocol());
@@ -71,8 +115,9 @@
     acceptor_->listen(256);
 }
 
-Task<> HttpServer::serve(Handler handler) {
-    auto shared = std::make_shared<Handler>(std::move(handler));
+Task<> HttpServer::serve(Handler handler, Classify classify) {
+    shared_->handler = std::move(handler);
+    shared_->classify = std::move(classify);
     for (;;) {
         boost::system::error_code ec;
         auto socket = co_await acceptor_->async_accept(asio::redirect_error(asio::use_awaitable, ec));
@@ -81,8 +126,12 @@
             co_await sleep_for(std::chrono::milliseconds(20));
             continue;
         }
-        if (*count_ >= max_) continue;  // closes it: the load balancer moves on to another node
-        asio::co_spawn(io_, connection(std::move(socket), shared, Counted(count_)), asio::detached);
+        auto peer = socket.remote_endpoint(ec);
+        if (ec) continue;
+        auto arrival = shared_->rooms.arrive(peer.address().to_string());
+        shared_->close(arrival.evict);
+        if (!arrival.id) continue;  // closes it: the load balancer moves on to another node
+        asio::co_spawn(io_, connection(std::move(socket), shared_, *arrival.id), asio::detached);
     }
 }
 
--- a/src/net/http_server.hpp
+++ b/src/net/http_server.hpp
@@ -6,6 +6,7 @@
 #include <string>
 
 #include "net/duties.hpp"
+#include "net/rooms.hpp"
 #include "wire/codec.hpp"
 
 namespace barrowrun::net {
@@ -27,19 +28,29 @@
 };
 
 using Handler = std::function<Task<Response>(Request)>;
+using Classify = std::function<Caller(const Request&)>;
+
+// How long a connection may take, by what it is doing. A started request has seconds: half a header kept a
+// connection for two minutes once.
+struct ServerTimes {
+    std::chrono::seconds first{30}, request{10}, idle{120}, answer{10};
+};
 
 class HttpServer {
   public:
-    HttpServer(asio::io_context& io, std::size_t max_connections) : io_(io), max_(max_connections) {}
+    HttpServer(asio::io_context& io, std::size_t max_connections, ServerTimes times = {});
     // Listens at once, and throws if it can't.
     void listen(const std::string& address);
-    Task<> serve(Handler handler);
-    std::size_t connections() const { return *count_; }
+    // `classify`: who asks; without it, nobody is a user.
+    Task<> serve(Handler handler, Classify classify = {});
+    std::size_t connections() const;
+    std::string address() const;  // where it listens
 
   private:
     asio::io_context& io_;
-    std::size_t max_;
-    std::shared_ptr<std::size_t> count_ = std::make_shared<std::size_t>(0);
+    struct Shared;
+    static Task<> connection(asio::ip::tcp::socket socket, std::shared_ptr<Shared> shared, Rooms::Id id);
+    std::shared_ptr<Shared> shared_;
     std::optional<asio::ip::tcp::acceptor> acceptor_;
 };
 
--- a/src/placement/cluster.cpp
+++ b/src/placement/cluster.cpp
@@ -24,10 +24,15 @@
 std::size_t text_size(const wire::Json& value) {
     return value.dump(-1, ' ', false, wire::Json::error_handler_t::replace).size();
 }
+
+// Tasks of a gang fail together: their failures count under the first.
+std::uint32_t error_key(const Job& job, std::uint32_t index) {
+    return job.spec.sort == Sort::gang ? 0 : index;
+}
 }  // namespace
 
 wire::Standing Job::standing() const {
-    if (cancel_durable) return wire::Standing::cancelled;
+    if (cancel_durable) return failed ? wire::Standing::failed : wire::Standing::cancelled;
     if (finished() && durable_done.size() == spec.tasks) return wire::Standing::done;
     return places.empty() ? wire::Standing::queued : wire::Standing::running;
 }
@@ -73,8 +78,12 @@
     if (progress) {
         job.done = job.durable_done = progress->done;
         job.cancelled = job.cancel_durable = progress->cancelled;
+        job.failed = progress->failed;
+        job.errors = progress->errors;
+        job.error_count = progress->total;
         job.progress_written = true;
     }
+    if (job.spec.retries && !job.error_count) job.error_count.emplace();
     if (!job.cancelled) {
         if (job.done.empty()) {
             job.waiting = IndexSet::full(job.spec.tasks);
@@ -144,16 +153,65 @@
         if (!it->second.empty()) return;
         job.places.erase(it);
     }
-    if (!job.done.contains(index) && !job.cancelled) set_waiting(job, index, true);
+    if (!job.done.contains(index) && !job.cancelled && !job.unrecorded_errors.contains(error_key(job, index)))
+        set_waiting(job, index, true);
     if ((job.cancelled || job.finished()) && job.places.empty()) mark_dirty(job);
 }
 
 void Cluster::finish_task(Job& job, std::uint32_t index) {
     if (!job.done.insert(index)) return;
     set_waiting(job, index, false);
+    job.errors.erase(index);
     mark_dirty(job);
 }
 
+// ---- failures that count -------------------------------------------------------------------------------
+
+void Cluster::count_error(Job& job, const Machine& m, const Attempt& a, TimePoint now) {
+    if (!job.spec.retries || job.cancelled || job.finished() || job.done.contains(a.task.index)) return;
+    auto key = error_key(job, a.task.index);
+    auto& errors = job.errors[key];
+    // Heard before, from this worker or by a predecessor; of a gang, from another of its tasks.
+    if (a.number <= errors.last) return;
+    errors.count++;
+    errors.last = a.number;
+    job.unrecorded_errors.insert(key);
+    job.error_count->errors++;
+    job.error_count->last = wire::Failure{a.task.str(), m.name, a.number};
+    mark_dirty(job);
+    // The record names every task that failed and is not done; one that would outgrow its value ends the job.
+    bool too_many = job.errors.size() > rules_.value_bytes / 64;
+    if (errors.count <= *job.spec.retries && !too_many) return;
+    spdlog::info("job {} has failed: {} failed {} times, last on {}{}", job.spec.id, a.task.str(), errors.count,
+                 m.name, too_many ? ", as did too many other tasks" : "");
+    job.failed = true;
+    cancel(job, now);
+}
+
+void Cluster::errors_recorded(Job& job, const std::map<std::uint32_t, state::TaskErrors>& written) {
+    for (auto it = job.unrecorded_errors.begin(); it != job.unrecorded_errors.end();) {
+        auto now = job.errors.find(*it);
+        auto then = written.find(*it);
+        if (now != job.errors.end() && (then == written.end() || then->second != now->second)) {
+            ++it;
+            continue;
+        }
+        auto key = *it;
+        it = job.unrecorded_errors.erase(it);
+        if (job.cancelled) continue;
+        const bool gang = job.spec.sort == Sort::gang;
+        for (std::uint32_t i = gang ? 0 : key; i < (gang ? job.spec.tasks : key + 1); ++i)
+            if (!job.places.contains(i) && !job.done.contains(i)) set_waiting(job, i, true);
+    }
+}
+
+bool Cluster::unrecorded_error(const Attempt& a, const Entry& e) const {
+    if (e.cause != Cause::error) return false;
+    auto it = jobs_.find(a.task.job);
+    if (it == jobs_.end() || it->second->cancelled) return false;
+    return it->second->unrecorded_errors.contains(error_key(*it->second, a.task.index));
+}
+
 // ---- machines ------------------------------------------------------------------------------------------
 
 Machine* Cluster::find_machine(const std::string& name) {
@@ -318,6 +376,7 @@
             m.errors++;
             m.last_error = now;
             job->failed_on.insert(m.name);
+            count_error(*job, m, a, now);
             if (runs_well(*job, now)) {
                 // The machine's fault. A few of these once held a whole urgent array back: the task goes
                 // elsewhere at once.
@@ -419,6 +478,7 @@
 }
 
 bool Cluster::may_reap(const Attempt& a, const Entry& e) const {
+    if (unrecorded_error(a, e)) return false;
     if (e.cause != Cause::done) return true;
     auto it = jobs_.find(a.task.job);
     // A result is let go once it is on record.
@@ -943,7 +1003,8 @@
 // ---- writes --------------------------------------------------------------------------------------------
 
 bool Cluster::waited_for(const Job& job) {
-    return job.finished() || (job.cancelled && (!job.cancel_durable || job.places.empty()));
+    return job.finished() || !job.unrecorded_errors.empty() ||
+           (job.cancelled && (!job.cancel_durable || job.places.empty()));
 }
 
 bool Cluster::has_urgent_writes() const {
@@ -964,7 +1025,7 @@
     state::MachineRecord r{m.name, m.address, m.type, m.zone, m.spot, 0, {}};
     r.rented_ms = wall_ms - std::chrono::duration_cast<std::chrono::milliseconds>(now - m.rented).count();
     for (auto& [a, e] : m.entries)
-        if (!e.exited() || e.late) r.attempts.push_back(a);
+        if (!e.exited() || e.late || unrecorded_error(a, e)) r.attempts.push_back(a);
     return r;
 }
 
@@ -1024,8 +1085,10 @@
         job->dirty = false;
         bool over = job->cancelled ? (job->cancel_durable && job->places.empty()) : job->finished();
         if (over) {
-            state::PastRecord past{job->cancelled ? wire::Standing::cancelled : wire::Standing::done,
-                                   job->done.size()};
+            state::PastRecord past{job->failed      ? wire::Standing::failed
+                                   : job->cancelled ? wire::Standing::cancelled
+                                                    : wire::Standing::done,
+                                   job->done.size(), job->error_count};
             add({state::past_key(id), state::to_json(past), [this, id, past] {
                      Job* j = find_job(id);
                      if (!j) return;
@@ -1042,11 +1105,12 @@
             add({state::job_key(id), std::nullopt, {}});
             if (job->progress_written) add({state::progress_key(id), std::nullopt, {}});
         } else {
-            state::Progress p{job->done, job->cancelled};
+            state::Progress p{job->done, job->cancelled, job->failed, job->errors, job->error_count};
             add({state::progress_key(id), state::to_json(p, job->spec.tasks), [this, id, p] {
                      Job* j = find_job(id);
                      if (!j) return;
                      j->durable_done = p.done;
+                     errors_recorded(*j, p.errors);
                      if (p.cancelled) {
                          j->cancel_durable = true;
                          if (j->places.empty()) mark_dirty(*j);
--- a/src/placement/cluster.hpp
+++ b/src/placement/cluster.hpp
@@ -51,12 +51,19 @@
     TimePoint accepted{};
     IndexSet waiting, done, durable_done;
     bool cancelled = false, cancel_durable = false;
+    bool failed = false;  // cancelled because a task failed more often than the job allows
     bool dirty = false, progress_written = false;
     // Every machine that may hold an attempt of a task. A task is started only while it has none.
     std::unordered_map<std::uint32_t, std::vector<std::pair<std::string, std::uint64_t>>> places;
     TimePoint retry_at{};
     int errors_in_row = 0;
     std::set<std::string> failed_on;  // machines
+    // Failures of tasks, of a job that counts them: the attempts counted, and which of these counts are not on
+    // record yet. Until they are, the worker keeps the attempt and the task is not started again, so that a
+    // successor counts each exactly once.
+    std::map<std::uint32_t, state::TaskErrors> errors;
+    std::set<std::uint32_t> unrecorded_errors;
+    std::optional<wire::ErrorCount> error_count;
     double run_sum = 0;               // of its finished tasks
     int runs = 0;
 
@@ -173,6 +180,10 @@
     void unplace(Job& job, std::uint32_t index, const std::string& machine, std::uint64_t attempt);
     void set_waiting(Job& job, std::uint32_t index, bool waiting);
     void finish_task(Job& job, std::uint32_t index);
+    void count_error(Job& job, const Machine& m, const Attempt& a, TimePoint now);
+    void errors_recorded(Job& job, const std::map<std::uint32_t, state::TaskErrors>& written);
+    // A counted failure that no record names yet.
+    bool unrecorded_error(const Attempt& a, const Entry& e) const;
     void mark_dirty(Job& job);
     static bool waited_for(const Job& job);  // a user waits for its next record: it is over, or cancelled
     // The machines that can take a task of the job, best first.
--- a/src/state/records.cpp
+++ b/src/state/records.cpp
@@ -158,6 +158,17 @@
 Json to_json(const Progress& p, std::uint32_t tasks) {
     Json out{{"finished", p.done.json(tasks)}};
     if (p.cancelled) out["cancelled"] = true;
+    if (p.failed) out["failed"] = true;
+    if (!p.errors.empty()) {
+        Json list = Json::array();
+        for (auto& [index, e] : p.errors) {
+            list.push_back(index);
+            list.push_back(e.count);
+            list.push_back(e.last);
+        }
+        out["errors"] = std::move(list);
+    }
+    if (p.total) out["error_count"] = wire::error_count_json(*p.total);
     return out;
 }
 
@@ -166,17 +177,35 @@
     if (!done) return std::nullopt;
     auto set = IndexSet::parse(*done, tasks);
     if (!set) return std::nullopt;
-    return Progress{std::move(*set), wire::flag(value, "cancelled").value_or(false)};
+    Progress p{std::move(*set), wire::flag(value, "cancelled").value_or(false),
+               wire::flag(value, "failed").value_or(false)};
+    if (const Json* list = wire::find(value, "errors")) {
+        if (!list->is_array() || list->size() % 3) return std::nullopt;
+        for (std::size_t k = 0; k < list->size(); k += 3) {
+            for (std::size_t i = 0; i < 3; ++i)
+                if (!(*list)[k + i].is_number_unsigned()) return std::nullopt;
+            auto index = (*list)[k].get<std::uint64_t>();
+            if (index >= tasks) return std::nullopt;
+            p.errors[static_cast<std::uint32_t>(index)] = {(*list)[k + 1].get<std::uint32_t>(),
+                                                           (*list)[k + 2].get<std::uint64_t>()};
+        }
+    }
+    if (const Json* total = wire::find(value, "error_count")) p.total = wire::parse_error_count(*total);
+    return p;
 }
 
 Json to_json(const PastRecord& r) {
-    return Json{{"state", wire::standing_name(r.standing)}, {"finished", r.done}};
+    Json out{{"state", wire::standing_name(r.standing)}, {"finished", r.done}};
+    if (r.errors) out["error_count"] = wire::error_count_json(*r.errors);
+    return out;
 }
 
 std::optional<PastRecord> parse_past(const Json& value) {
     auto standing = wire::standing_of(wire::text(value, "state").value_or(""));
     if (!standing) return std::nullopt;
-    return PastRecord{*standing, static_cast<std::uint32_t>(wire::count(value, "finished").value_or(0))};
+    PastRecord r{*standing, static_cast<std::uint32_t>(wire::count(value, "finished").value_or(0)), {}};
+    if (const Json* errors = wire::find(value, "error_count")) r.errors = wire::parse_error_count(*errors);
+    return r;
 }
 
 Json to_json(const MachineRecord& r) {
--- a/src/state/records.hpp
+++ b/src/state/records.hpp
@@ -59,9 +59,20 @@
 Json to_json(const JobRecord& r);
 std::optional<JobRecord> parse_job_record(const Json& value);
 
+// Failures of one task. An attempt counts once: numbers only grow, so those up to `last` are counted.
+struct TaskErrors {
+    std::uint32_t count = 0;
+    std::uint64_t last = 0;
+    bool operator==(const TaskErrors&) const = default;
+};
+
 struct Progress {
     IndexSet done;
     bool cancelled = false;
+    bool failed = false;  // cancelled by the scheduler itself: a task failed too often
+    // Only of jobs that count their failures.
+    std::map<std::uint32_t, TaskErrors> errors{};
+    std::optional<wire::ErrorCount> total{};
 };
 Json to_json(const Progress& p, std::uint32_t tasks);
 std::optional<Progress> parse_progress(const Json& value, std::uint32_t tasks);
@@ -69,6 +80,7 @@
 struct PastRecord {
     wire::Standing standing = wire::Standing::done;
     std::uint32_t done = 0;
+    std::optional<wire::ErrorCount> errors{};
 };
 Json to_json(const PastRecord& r);
 std::optional<PastRecord> parse_past(const Json& value);
--- a/src/state/state_client.cpp
+++ b/src/state/state_client.cpp
@@ -14,10 +14,9 @@
 
 void StateClient::note(const Reply& reply) {
     // 429 is an answer: the service is there.
-    if (reply.status != 0 && reply.status != 503)
-        last_ok_ = Clock::now();
-    else
-        last_bad_ = Clock::now();
+    const bool answered = reply.status != 0 && reply.status != 503;
+    (answered ? last_ok_ : last_bad_) = Clock::now();
+    if (auto line = reach_.note(answered, Clock::now())) spdlog::warn("{}", *line);
 }
 
 Task<Reply> StateClient::call(verb method, std::string target, std::optional<Json> body,
--- a/src/state/state_client.hpp
+++ b/src/state/state_client.hpp
@@ -5,6 +5,7 @@
 #include <vector>
 
 #include "net/http_client.hpp"
+#include "net/reach.hpp"
 
 namespace barrowrun::state {
 
@@ -106,6 +107,7 @@
     net::HttpClient client_;
     net::RateBudget requests_, writes_;
     TimePoint last_ok_{}, last_bad_{};
+    net::Reach reach_{"the state service"};
 };
 
 }  // namespace barrowrun::state
--- a/src/wire/messages.cpp
+++ b/src/wire/messages.cpp
@@ -113,6 +113,32 @@
     return out;
 }
 
+std::optional<std::vector<Command>> parse_commands(const Json& body) {
+    std::vector<Command> out;
+    const Json* orders = find(body, "orders");
+    if (!orders) return out;
+    if (!orders->is_array()) return std::nullopt;
+    for (const Json& o : *orders) {
+        auto verb = value_of(verb_words, text(o, "verb").value_or(""));
+        auto task = TaskId::parse(text(o, "parcel").value_or(""));
+        auto number = count(o, "try");
+        if (!verb || !task || !number) return std::nullopt;
+        auto grace = amount(o, "leeway_s").value_or(0);
+        if (grace < 0 || grace > 1e6) return std::nullopt;
+        out.push_back({*verb, {*task, *number}, grace});
+    }
+    return out;
+}
+std::optional<std::uint64_t> parse_token(const Json& body) {
+    return count(body, "baton");
+}
+std::optional<std::uint64_t> parse_session(const Json& body) {
+    return count(body, "shift");
+}
+std::optional<std::string> parse_redirect(const Json& body) {
+    return text(body, "foreman");
+}
+
 Json report_answer(std::uint64_t token, const std::vector<Command>& commands) {
     return Json{{"baton", token}, {"orders", commands_json(commands)}};
 }
@@ -204,6 +230,33 @@
     return out;
 }
 
+std::optional<RentRequest> parse_rent(const Json& body) {
+    auto request = text(body, "hire"), type = text(body, "build"), zone = text(body, "yard");
+    auto n = count(body, "how_many");
+    auto spot = flag(body, "loaners");
+    if (!request || request->empty() || !type || !zone || !spot || !n || *n < 1 || *n > 50) return std::nullopt;
+    return RentRequest{*request, *type, *zone, *spot, static_cast<int>(*n)};
+}
+
+Json machine_names_json(const std::vector<std::string>& names) {
+    return Json{{"barrows", names}};
+}
+
+Json machine_list_json(const MachineList& list) {
+    Json out = Json::array();
+    for (auto& m : list.machines)
+        out.push_back({{"name_id", m.name},
+                       {"endpoint", m.address},
+                       {"build", m.type},
+                       {"yard", m.zone},
+                       {"loaners", m.spot},
+                       {"standing", m.state == ListedMachine::State::failed    ? "failed"
+                                    : m.state == ListedMachine::State::running ? "running"
+                                                                               : "booting"},
+                       {"age_s", m.age_s}});
+    return Json{{"barrows", std::move(out)}, {"truncated", list.more}};
+}
+
 Json rent_body(const std::string& request, const std::string& type, const std::string& zone, bool spot,
                int n) {
     return Json{{"hire", request}, {"build", type}, {"yard", zone}, {"loaners", spot}, {"how_many", n}};
--- a/src/wire/messages.hpp
+++ b/src/wire/messages.hpp
@@ -64,6 +64,11 @@
 std::optional<Report> parse_report(const Json& body);
 Json report_json(const Report& report);
 Json commands_json(const std::vector<Command>& commands);
+// Commands as a worker reads them, from an answer to a report or a push. Nothing for what isn't a list of them.
+std::optional<std::vector<Command>> parse_commands(const Json& body);
+std::optional<std::uint64_t> parse_token(const Json& body);
+std::optional<std::uint64_t> parse_session(const Json& body);
+std::optional<std::string> parse_redirect(const Json& body);
 Json report_answer(std::uint64_t token, const std::vector<Command>& commands);
 Json push_body(std::uint64_t token, std::uint64_t session, const std::vector<Command>& commands);
 Json redirect_answer(const std::string& leader);  // empty: no leader known
@@ -92,6 +97,15 @@
 Json types_json(const std::vector<MachineType>& types);
 std::optional<MachineList> parse_machine_list(const Json& body);
 std::optional<std::vector<std::string>> parse_machine_names(const Json& body);
+// As the cloud reads and answers.
+struct RentRequest {
+    std::string request, type, zone;
+    bool spot = false;
+    int count = 0;
+};
+std::optional<RentRequest> parse_rent(const Json& body);
+Json machine_names_json(const std::vector<std::string>& names);
+Json machine_list_json(const MachineList& list);
 Json rent_body(const std::string& request, const std::string& type, const std::string& zone, bool spot,
                int n);
 Json return_body(const std::vector<std::string>& names);
--- a/src/wire/submission.cpp
+++ b/src/wire/submission.cpp
@@ -18,7 +18,8 @@
 constexpr Word<Standing> standings[] = {{"queued", Standing::queued},
                                         {"running", Standing::running},
                                         {"done", Standing::done},
-                                        {"withdrawn", Standing::cancelled}};
+                                        {"withdrawn", Standing::cancelled},
+                                        {"failed", Standing::failed}};
 
 template <class E, std::size_t N>
 std::optional<E> lookup(const Word<E> (&table)[N], const std::string& word) {
@@ -123,6 +124,13 @@
         take_amount("due_s", due);
         s.deadline_s = due;
     }
+    if (find(body, "retries")) {
+        auto n = count(body, "retries");
+        if (!n || *n > max_retries)
+            bad("retries");
+        else
+            s.retries = static_cast<std::uint32_t>(*n);
+    }
     if (!wrong.empty()) return wrong;
     return s;
 }
@@ -148,9 +156,14 @@
     if (s.types) out["builds"] = *s.types;
     if (s.zone) out["yard"] = *s.zone;
     if (s.deadline_s) out["due_s"] = *s.deadline_s;
+    if (s.retries) out["retries"] = *s.retries;
     return out;
 }
 
+std::optional<Priority> priority_of(const std::string& word) {
+    return lookup(ranks, word);
+}
+
 const char* standing_name(Standing s) {
     return word_for(standings, s);
 }
@@ -159,8 +172,35 @@
 }
 
 Json status_json(const JobStatus& s) {
-    return Json{
+    Json out{
         {"name_id", s.id}, {"standing", standing_name(s.standing)}, {"done", s.done}, {"running", s.running}};
+    if (s.errors) out["errors"] = error_count_json(*s.errors);
+    return out;
+}
+
+std::optional<JobStatus> parse_status(const Json& body) {
+    auto id = text(body, "name_id");
+    auto standing = standing_of(text(body, "standing").value_or(""));
+    if (!id || !standing) return std::nullopt;
+    JobStatus s{*id, *standing, count(body, "done").value_or(0), count(body, "running").value_or(0), {}};
+    if (const Json* e = find(body, "errors")) s.errors = parse_error_count(*e);
+    return s;
+}
+
+Json error_count_json(const ErrorCount& c) {
+    Json out{{"count", c.errors}};
+    if (c.last) out["last"] = {{"parcel", c.last->task}, {"barrow", c.last->machine}, {"try", c.last->attempt}};
+    return out;
+}
+
+std::optional<ErrorCount> parse_error_count(const Json& value) {
+    auto n = count(value, "count");
+    if (!n) return std::nullopt;
+    ErrorCount c{*n, std::nullopt};
+    if (const Json* last = find(value, "last"))
+        c.last = Failure{text(*last, "parcel").value_or(""), text(*last, "barrow").value_or(""),
+                         count(*last, "try").value_or(0)};
+    return c;
 }
 
 Json accepted_json(const std::string& id, Standing s) {
--- a/src/wire/submission.hpp
+++ b/src/wire/submission.hpp
@@ -13,6 +13,7 @@
 enum class Priority { production, high, normal, low };
 inline constexpr int priority_levels = 4;
 inline constexpr std::uint32_t max_tasks = 100'000;
+inline constexpr std::uint32_t max_retries = 1'000;
 
 struct Resources {
     double cpus = 0, gpus = 0, mem_gb = 0;
@@ -43,6 +44,9 @@
     bool one_zone = false, spread = false, spot_ok = false;
     double estimate_s = 0, checkpoint_s = 0, save_s = 0;
     std::optional<double> deadline_s;
+    // How often a task may fail and be tried again. One failure more ends the job as failed; absent: it is
+    // tried until its user cancels it. Ours, not the platform's.
+    std::optional<std::uint32_t> retries;
 };
 
 bool valid_job_id(std::string_view id);
@@ -50,16 +54,31 @@
 std::variant<JobSpec, std::string> parse_submission(const Json& body);
 Json submission_json(const JobSpec& spec);
 
-enum class Standing { queued, running, done, cancelled };
+enum class Standing { queued, running, done, cancelled, failed };
+std::optional<Priority> priority_of(const std::string& word);
 const char* standing_name(Standing s);
 std::optional<Standing> standing_of(const std::string& word);
 
+// The last failure of a job that counts them.
+struct Failure {
+    std::string task, machine;
+    std::uint64_t attempt = 0;
+};
+struct ErrorCount {
+    std::uint64_t errors = 0;
+    std::optional<Failure> last;
+};
+Json error_count_json(const ErrorCount& c);
+std::optional<ErrorCount> parse_error_count(const Json& value);
+
 struct JobStatus {
     std::string id;
     Standing standing = Standing::queued;
     std::uint64_t done = 0, running = 0;
+    std::optional<ErrorCount> errors;  // of jobs that set `retries`
 };
 Json status_json(const JobStatus& s);
+std::optional<JobStatus> parse_status(const Json& body);
 Json accepted_json(const std::string& id, Standing s);
 
 }  // namespace barrowrun::wire
--- /dev/null
+++ b/src/worker/agent.hpp
@@ -0,0 +1,46 @@
+#pragma once
+// The worker as a whole: reports to one controller at a time, takes commands, and lets the executor act.
+#include "net/http_client.hpp"
+#include "net/http_server.hpp"
+#include "worker/executor.hpp"
+
+namespace barrowrun::worker {
+
+struct WorkerSettings {
+    std::string name, listen, announce, type, zone;
+    bool spot = false;
+    wire::Resources capacity;
+    Times times;
+    std::map<std::string, std::string> controllers;  // name -> address
+    std::string depot, state_dir;
+    std::uint64_t output_bytes = 16 << 20;
+};
+// Throws config::ConfigError.
+WorkerSettings parse_worker_settings(const std::string& text);
+
+class Agent {
+  public:
+    // Ends what an earlier worker of this machine left running, and begins a new session. Throws if it can't.
+    Agent(net::asio::io_context& io, WorkerSettings settings);
+    void start();
+    void stop();
+
+  private:
+    Task<> report_loop();
+    Task<> tick_loop();
+    Task<net::Response> route(net::Request request);
+    void changed();
+    void keep_session();
+    static std::uint64_t next_session(const WorkerSettings& s);
+
+    net::asio::io_context& io_;
+    WorkerSettings settings_;
+    net::HttpServer server_;
+    net::HttpClient client_;
+    std::uint64_t session_;
+    Machine machine_;
+    net::Signal wake_;
+    std::shared_ptr<Executor> executor_;
+};
+
+}  // namespace barrowrun::worker
--- /dev/null
+++ b/tests/retries_test.cpp
@@ -0,0 +1,204 @@
+// Failures that count: a job that sets `retries` ends as failed, and each failure counts exactly once.
+#include "support.hpp"
+
+using namespace barrowrun;
+using namespace barrowrun::testing;
+
+namespace {
+
+struct Counting : Fleet {
+    std::uint64_t number = 0;
+    wire::JobSpec limited(std::uint32_t retries, std::uint32_t tasks = 1) {
+        auto s = spec("wk-1", tasks);
+        s.retries = retries;
+        return s;
+    }
+    // Starts task 0 on the machine and lets it fail there; what the worker then reports, until it is reaped.
+    TaskStatus fail(const std::string& name) {
+        now += 60s;
+        cluster->on_report(report(name, {}, cluster->token()), true, now);
+        place_all();
+        auto commands = run(name);
+        EXPECT_EQ(commands.size(), 1u);
+        TaskStatus failed{commands.at(0).attempt, TaskState::exited, Cause::error, false};
+        cluster->on_report(report(name, {failed}, cluster->token()), true, now);
+        return failed;
+    }
+    wire::Standing past() { return cluster->past("wk-1").value().standing; }
+    // The records as a successor reads them.
+    std::map<std::string, std::optional<wire::Json>> store;
+    void keep() {
+        for (auto& w : write()) store[w.key] = w.value;
+    }
+    void successor(std::uint64_t token, const wire::JobSpec& s) {
+        restart(token);
+        auto kept = store["progress/wk-1"];
+        auto p = kept ? state::parse_progress(*kept, s.tasks) : std::nullopt;
+        cluster->add_job({s, 1'000'000}, p ? &*p : nullptr, now, wall);
+        for (auto& [key, value] : store) {
+            auto n = state::parse_sheet_key(key);
+            if (!n || !value) continue;
+            auto records = state::parse_sheet(*value);
+            if (!records) continue;
+            for (auto& r : *records) cluster->inherit(*n, r, now, wall);
+        }
+    }
+};
+
+}  // namespace
+
+TEST(Retries, PastTheLimitTheJobIsFailedAndItsOtherTasksStop) {
+    Counting f;
+    f.up("n-1");
+    f.add(f.limited(1, 2));
+    f.place_all();
+    auto sent = f.run("n-1");
+    ASSERT_EQ(sent.size(), 2u);
+    auto other = sent[sent[0].attempt.task.index == 1 ? 0 : 1].attempt;
+    for (int i = 0; i < 2; ++i) {
+        auto task0 = f.cluster->find_job("wk-1")->places.at(0).at(0);
+        TaskStatus failed{{{"wk-1", 0}, task0.second}, TaskState::exited, Cause::error, false};
+        TaskStatus running{other, TaskState::running, Cause::none, false};
+        f.cluster->on_report(f.report("n-1", {failed, running}), true, f.now);
+        f.write();
+        f.now += 61s;
+        f.cluster->on_report(f.report("n-1", {running}), true, f.now);
+        if (i == 0) {
+            f.place_all();
+            f.run("n-1");
+        }
+    }
+    auto* job = f.cluster->find_job("wk-1");
+    ASSERT_TRUE(job);
+    EXPECT_EQ(job->standing(), wire::Standing::failed);
+    EXPECT_TRUE(f.machine("n-1").entries.at(other).stop);
+    f.cluster->on_report(f.report("n-1", {}), true, f.now);
+    f.write();
+    EXPECT_EQ(f.past(), wire::Standing::failed);
+    EXPECT_EQ(f.cluster->past("wk-1")->errors->errors, 2u);
+    EXPECT_EQ(f.cluster->past("wk-1")->errors->last->machine, "n-1");
+}
+
+TEST(Retries, WithoutTheFieldAJobIsTriedForGood) {
+    Counting f;
+    f.up("n-1");
+    f.add(f.spec("wk-1"));
+    for (int i = 0; i < 6; ++i) {
+        f.fail("n-1");
+        f.write();
+    }
+    ASSERT_TRUE(f.cluster->find_job("wk-1"));
+    EXPECT_EQ(f.cluster->find_job("wk-1")->standing(), wire::Standing::queued);
+    EXPECT_FALSE(f.cluster->find_job("wk-1")->error_count);
+}
+
+TEST(Retries, AFailureIsOnRecordBeforeItIsReapedOrTheTaskRestarts) {
+    Counting f;
+    f.up("n-1");
+    auto& job = f.add(f.limited(3));
+    f.fail("n-1");
+    // Not written yet: neither reaped nor started again.
+    EXPECT_TRUE(f.cluster->reply_commands(f.machine("n-1"), f.now).empty());
+    f.now += 60s;
+    EXPECT_FALSE(f.cluster->round(f.now));
+    EXPECT_TRUE(job.waiting.empty());
+    f.write();
+    EXPECT_EQ(job.waiting.size(), 1u);
+    auto commands = f.cluster->reply_commands(f.machine("n-1"), f.now);
+    ASSERT_EQ(commands.size(), 1u);
+    EXPECT_EQ(commands[0].verb, Verb::reap);
+}
+
+TEST(Retries, ATakeoverAfterTheRecordDoesNotCountAFailureTwice) {
+    Counting f;
+    auto s = f.limited(1);
+    f.up("n-1");
+    f.add(s);
+    f.keep();
+    auto failed = f.fail("n-1");
+    f.keep();
+    f.successor(20, s);
+    // The worker still shows it: the reap was never sent.
+    f.cluster->on_report(f.report("n-1", {failed}, 20), true, f.now);
+    EXPECT_EQ(f.cluster->find_job("wk-1")->error_count->errors, 1u);
+    EXPECT_FALSE(f.cluster->find_job("wk-1")->failed);
+    f.write();
+    EXPECT_EQ(f.cluster->reply_commands(f.machine("n-1"), f.now).size(), 1u);
+}
+
+TEST(Retries, ATakeoverBeforeTheRecordDoesNotLoseTheLastFailure) {
+    Counting f;
+    auto s = f.limited(0);
+    f.up("n-1");
+    f.add(s);
+    f.cluster->round(f.now);
+    f.keep();
+    auto sent = f.run("n-1");
+    ASSERT_EQ(sent.size(), 1u);
+    TaskStatus failed{sent[0].attempt, TaskState::exited, Cause::error, false};
+    f.cluster->on_report(f.report("n-1", {failed}), true, f.now);
+    // The leader dies before it writes. Its successor starts nothing until the machine has spoken.
+    f.successor(20, s);
+    f.up("n-2");
+    EXPECT_FALSE(f.cluster->round(f.now));
+    f.cluster->on_report(f.report("n-1", {failed}, 20), true, f.now);
+    EXPECT_TRUE(f.cluster->find_job("wk-1")->failed);
+    f.write();
+    f.write();
+    EXPECT_EQ(f.past(), wire::Standing::failed);
+    EXPECT_EQ(f.cluster->past("wk-1")->errors->errors, 1u);
+}
+
+TEST(Retries, TheSheetNamesAFailureUntilItIsCounted) {
+    Counting f;
+    f.up("n-1");
+    f.add(f.limited(2));
+    f.cluster->round(f.now);
+    f.write();
+    auto sent = f.run("n-1");
+    ASSERT_EQ(sent.size(), 1u);
+    TaskStatus failed{sent[0].attempt, TaskState::exited, Cause::error, false};
+    f.cluster->on_report(f.report("n-1", {failed}), true, f.now);
+    f.cluster->mark_machine_dirty("n-1");
+    auto writes = f.cluster->take_writes(1, 1 << 20, f.now, f.wall);
+    EXPECT_EQ(Fleet::recorded(writes).at("n-1").size(), 1u);
+}
+
+TEST(Retries, AGangFailsOnceHoweverManyOfItsTasksReportIt) {
+    Counting f;
+    f.up("n-1");
+    auto s = f.limited(1, 2);
+    s.sort = wire::Sort::gang;
+    f.add(s);
+    f.place_all();
+    auto sent = f.run("n-1");
+    ASSERT_EQ(sent.size(), 2u);
+    std::vector<TaskStatus> both;
+    for (auto& c : sent) both.push_back({c.attempt, TaskState::exited, Cause::error, false});
+    f.cluster->on_report(f.report("n-1", both), true, f.now);
+    auto* job = f.cluster->find_job("wk-1");
+    EXPECT_EQ(job->error_count->errors, 1u);
+    EXPECT_FALSE(job->failed);
+    f.write();
+    EXPECT_EQ(job->waiting.size(), 2u);
+}
+
+TEST(Retries, TheFieldAndTheCountsSurviveTheWire) {
+    Fleet f;
+    auto s = f.spec("wk-7");
+    s.retries = 4;
+    auto body = wire::submission_json(s);
+    EXPECT_EQ(std::get<wire::JobSpec>(wire::parse_submission(body)).retries, 4u);
+    body["retries"] = "many";
+    EXPECT_TRUE(std::holds_alternative<std::string>(wire::parse_submission(body)));
+    wire::JobStatus status{"wk-7", wire::Standing::failed, 1, 0, wire::ErrorCount{2, wire::Failure{"wk-7/0", "n-1", 9}}};
+    auto back = wire::parse_status(wire::status_json(status));
+    ASSERT_TRUE(back && back->errors && back->errors->last);
+    EXPECT_EQ(back->errors->last->attempt, 9u);
+    state::Progress p;
+    p.errors[3] = {2, 77};
+    auto read = state::parse_progress(state::to_json(p, 5), 5);
+    ASSERT_TRUE(read);
+    EXPECT_EQ(read->errors, p.errors);
+    EXPECT_FALSE(state::parse_progress(state::to_json(p, 5), 2));
+}
--- /dev/null
+++ b/tests/rooms_test.cpp
@@ -0,0 +1,132 @@
+// Which connections a server keeps when room is short, and what silent and slow peers can do to it.
+#include <gtest/gtest.h>
+
+#include "net/http_client.hpp"
+#include "net/http_server.hpp"
+#include "net/reach.hpp"
+
+using namespace barrowrun;
+using namespace barrowrun::net;
+using namespace std::chrono_literals;
+
+TEST(Rooms, ConnectionsThatNeverAskedGoFirst) {
+    Rooms rooms(4, 1, 1);
+    auto worker = *rooms.arrive("10.0.0.1").id;
+    rooms.request(worker, Caller::system);
+    rooms.answered(worker);
+    auto silent = *rooms.arrive("10.0.0.9").id;
+    rooms.arrive("10.0.0.9");
+    rooms.arrive("10.0.0.9");
+    auto next = rooms.arrive("10.0.0.2");
+    ASSERT_TRUE(next.id);
+    EXPECT_EQ(next.evict, silent);
+    EXPECT_EQ(rooms.size(), 4u);
+}
+
+TEST(Rooms, IdleUsersGoBeforeIdleWorkersAndTheServedStay) {
+    Rooms rooms(3, 1, 1);
+    auto worker = *rooms.arrive("w").id, user = *rooms.arrive("u").id, busy = *rooms.arrive("b").id;
+    rooms.request(worker, Caller::system), rooms.answered(worker);
+    rooms.request(user, Caller::user), rooms.answered(user);
+    rooms.request(busy, Caller::user);
+    auto a = rooms.arrive("x");
+    EXPECT_EQ(a.evict, user);
+    rooms.request(*a.id, Caller::user);
+    auto b = rooms.arrive("y");
+    EXPECT_EQ(b.evict, worker);
+    rooms.request(*b.id, Caller::user);
+    EXPECT_FALSE(rooms.arrive("z").id);
+}
+
+TEST(Rooms, UsersLeaveAShareToWorkersAndHealthChecks) {
+    Rooms rooms(10, 0.8, 1);
+    for (int i = 0; i < 8; ++i) EXPECT_TRUE(rooms.request(*rooms.arrive("lb").id, Caller::user).serve);
+    auto ninth = *rooms.arrive("lb").id;
+    EXPECT_FALSE(rooms.request(ninth, Caller::user).serve);
+    rooms.left(ninth);
+    auto worker = rooms.arrive("w");
+    ASSERT_TRUE(worker.id);
+    EXPECT_TRUE(rooms.request(*worker.id, Caller::system).serve);
+    EXPECT_EQ(rooms.users(), 8u);
+}
+
+TEST(Rooms, OneAddressCannotHoldAll) {
+    Rooms rooms(10, 1, 0.8);
+    for (int i = 0; i < 8; ++i) rooms.request(*rooms.arrive("one").id, Caller::user);
+    EXPECT_FALSE(rooms.arrive("one").id);
+    EXPECT_TRUE(rooms.arrive("two").id);
+}
+
+TEST(Reach, SaysSoOnceAndThenAtGrowingIntervals) {
+    Reach reach("the cloud");
+    TimePoint t = TimePoint{} + 100s;
+    EXPECT_FALSE(reach.note(true, t));
+    EXPECT_FALSE(reach.note(false, t));
+    EXPECT_TRUE(reach.note(false, t + 900ms));
+    EXPECT_FALSE(reach.note(false, t + 1s));
+    int lines = 0;
+    for (int s = 2; s < 100; ++s) lines += reach.note(false, t + std::chrono::seconds(s)).has_value();
+    EXPECT_GE(lines, 4);
+    EXPECT_LE(lines, 8);
+    EXPECT_EQ(reach.note(true, t + 100s), "the cloud answers again, after 100.0 s");
+    EXPECT_FALSE(reach.note(true, t + 101s));
+}
+
+namespace {
+
+struct Running {
+    asio::io_context io;
+    HttpServer server;
+    explicit Running(std::size_t most, ServerTimes times = {}) : server(io, most, times) {
+        server.listen("127.0.0.1:0");
+        asio::co_spawn(io,
+                       server.serve([](Request) -> Task<Response> { co_return Response{}; },
+                                    [](const Request& r) {
+                                        return r.target == "/healthz" ? Caller::system : Caller::user;
+                                    }),
+                       asio::detached);
+    }
+    std::vector<asio::ip::tcp::socket> peers;
+    // A peer that sends half a header and stops.
+    void half(const char* from) {
+        asio::ip::tcp::socket s(io);
+        s.open(asio::ip::tcp::v4());
+        s.bind({asio::ip::make_address(from), 0});
+        s.connect(*parse_endpoint(server.address()));
+        asio::write(s, asio::buffer(std::string("GET /healthz HTTP/1.1\r\nHost: x")));
+        peers.push_back(std::move(s));
+    }
+    int ask(const char* target) {
+        HttpClient client(io);
+        int status = -1;
+        auto call = [](HttpClient* c, std::string to, std::string what, int* out) -> Task<> {
+            auto reply = co_await c->call(to, http::verb::get, what, std::nullopt, 2s);
+            *out = reply.status;
+        };
+        asio::co_spawn(io, call(&client, server.address(), target, &status), asio::detached);
+        for (int i = 0; i < 200 && status < 0; ++i) io.run_for(10ms);
+        return status;
+    }
+};
+
+}  // namespace
+
+TEST(HttpServer, PeersThatStopInTheMiddleKeepNobodyOut) {
+    Running r(40);
+    for (int i = 0; i < 120; ++i) {
+        r.half(i % 2 ? "127.0.0.2" : "127.0.0.3");
+        r.io.run_for(1ms);
+    }
+    EXPECT_LE(r.server.connections(), 40u);
+    EXPECT_EQ(r.ask("/healthz"), 200);
+    EXPECT_EQ(r.ask("/submissions/wk-1"), 200);
+}
+
+TEST(HttpServer, AStartedRequestHasSeconds) {
+    Running r(40, {1s, 1s, 5s, 1s});
+    r.half("127.0.0.1");
+    r.io.run_for(100ms);
+    EXPECT_EQ(r.server.connections(), 1u);
+    r.io.run_for(1500ms);
+    EXPECT_EQ(r.server.connections(), 0u);
+}
