--- a/cmake/tools.cmake
+++ b/cmake/tools.cmake
@@ -45,7 +45,31 @@
   src/workflow/make/parse.cpp
   src/workflow/make/resolve.cpp
   src/workflow/make/makefile.cpp)
-target_link_libraries(barrowrun_workflow PUBLIC barrowrun_depot PRIVATE barrowrun_flags)
+target_link_libraries(barrowrun_workflow PUBLIC barrowrun_depot Threads::Threads PRIVATE barrowrun_flags)
+
+# The Snakefile reader has an interpreter in it, so it is a library of its own.
+find_package(Python3 REQUIRED COMPONENTS Development.Embed)
+find_package(yaml-cpp REQUIRED)
+barrowrun_embed(src/workflow/snakemake/prelude.py workflow::snakemake prelude workflow/snakemake)
+add_library(barrowrun_snakemake STATIC src/workflow/snakemake/snakefile.cpp)
+target_include_directories(barrowrun_snakemake PRIVATE ${CMAKE_CURRENT_BINARY_DIR}/generated)
+target_link_libraries(barrowrun_snakemake PUBLIC barrowrun_workflow PRIVATE Python3::Python yaml-cpp barrowrun_flags)
+
+add_library(barrowrun_client STATIC src/client/client.cpp)
+target_link_libraries(barrowrun_client PUBLIC barrowrun_daemon PRIVATE barrowrun_flags)
+
+add_library(barrowrun_driver STATIC src/workflow/journal.cpp src/workflow/driver.cpp)
+target_link_libraries(barrowrun_driver PUBLIC barrowrun_workflow barrowrun_client barrowrun_store PRIVATE barrowrun_flags)
+
+find_package(Curses REQUIRED)
+barrowrun_embed(schema/client.schema.json ctl client_schema)
+barrowrun_embed(schema/job.schema.json ctl job_schema)
+add_library(barrowrun_ctl_parts STATIC src/ctl/site.cpp src/ctl/jobs.cpp src/ctl/progress.cpp src/ctl/flows.cpp src/ctl/watch.cpp)
+target_include_directories(barrowrun_ctl_parts PRIVATE ${CMAKE_CURRENT_BINARY_DIR}/generated ${CURSES_INCLUDE_DIRS})
+target_link_libraries(barrowrun_ctl_parts PUBLIC barrowrun_driver barrowrun_snakemake PRIVATE ${CURSES_LIBRARIES} barrowrun_flags)
+add_executable(barrowctl src/ctl/main.cpp)
+target_link_libraries(barrowctl PRIVATE barrowrun_ctl_parts CLI11::CLI11 barrowrun_flags)
+target_compile_definitions(barrowctl PRIVATE BARROWRUN_VERSION="${PROJECT_VERSION}")
 
 foreach(program worker lab)
   add_executable(barrowrun-${program} src/${program}/main.cpp)
--- a/src/client/client.hpp
+++ b/src/client/client.hpp
@@ -31,13 +31,22 @@
     std::string why;
 };
 
-class Client {
+// Who takes jobs: a site's nodes, or something that stands before them.
+class JobService {
   public:
-    Client(net::asio::io_context& io, std::vector<std::string> nodes, Patience patience = {});
-    Task<Outcome> submit(wire::JobSpec spec);
-    Task<Outcome> cancel(std::string id);
+    virtual ~JobService() = default;
+    virtual Task<Outcome> submit(wire::JobSpec spec) = 0;
+    virtual Task<Outcome> cancel(std::string id) = 0;
     // One round over the nodes, without further patience: pollers come again.
-    Task<Outcome> status(std::string id);
+    virtual Task<Outcome> status(std::string id) = 0;
+};
+
+class Client : public JobService {
+  public:
+    Client(net::asio::io_context& io, std::vector<std::string> nodes, Patience patience = {});
+    Task<Outcome> submit(wire::JobSpec spec) override;
+    Task<Outcome> cancel(std::string id) override;
+    Task<Outcome> status(std::string id) override;
     const std::vector<std::string>& nodes() const { return nodes_; }
 
   private:
--- a/src/depot/depot.cpp
+++ b/src/depot/depot.cpp
@@ -64,7 +64,7 @@
                 {"directories", text_list(d.directories)},
                 {"touch", text_list(d.touch)},
                 {"protect", text_list(d.protect)},
-                {"log", to_text(d.log)},
+                {"logs", text_list(d.logs)},
                 {"limit_memory", d.limit_memory}};
 }
 
@@ -89,7 +89,7 @@
     d.directories = byte_list(value, "directories");
     d.touch = byte_list(value, "touch");
     d.protect = byte_list(value, "protect");
-    d.log = from_text(value.value("log", ""));
+    d.logs = byte_list(value, "logs");
     d.limit_memory = value.value("limit_memory", false);
     return d;
 }
@@ -113,7 +113,7 @@
 }
 
 Depot::Depot(fs::path root) : root_(std::move(root)) {
-    for (auto* d : {"jobs", "runs", "final", "gangs", "saved"}) fs::create_directories(root_ / d);
+    for (auto* d : {"jobs", "runs", "final", "hints", "gangs", "saved"}) fs::create_directories(root_ / d);
 }
 
 void Depot::describe(const Description& d) const {
@@ -131,8 +131,11 @@
 }
 
 void Depot::keep_result(const wire::Attempt& a, const Result& r) const {
+    // For people only: it need not outlive a loss of power.
     fs::create_directories(run_dir(a));
-    write_whole(run_dir(a) / "result.json", to_json(r).dump());
+    auto path = run_dir(a) / "result.json", part = run_dir(a) / ".result";
+    std::ofstream(part) << to_json(r).dump();
+    fs::rename(part, path);
 }
 
 std::optional<Result> Depot::last_result(const wire::TaskId& task) const {
@@ -242,6 +245,35 @@
     fs::remove_all(root_ / "saved" / job, ec);
 }
 
+void Depot::hint(const std::string& job) const {
+    std::ofstream(root_ / "hints" / job, std::ios::app);
+}
+
+std::optional<wire::TaskId> Depot::settled_name(const std::string& file) {
+    if (!file.ends_with(".ok")) return std::nullopt;
+    auto dot = file.find('.');
+    return wire::TaskId::parse(file.substr(0, dot) + "/" + file.substr(dot + 1, file.size() - dot - 4));
+}
+
+fs::path stage_of(const fs::path& dir, const wire::Attempt& a) {
+    return dir / ".barrowrun" / "stage" /
+           (a.task.job + "." + std::to_string(a.task.index) + "." + std::to_string(a.number));
+}
+
+std::vector<fs::path> stages_of(const fs::path& dir, const wire::TaskId& task) {
+    std::error_code ec;
+    auto prefix = task.job + "." + std::to_string(task.index) + ".";
+    std::vector<fs::path> out;
+    for (auto& e : fs::directory_iterator(dir / ".barrowrun" / "stage", ec))
+        if (e.path().filename().string().starts_with(prefix)) out.push_back(e.path());
+    return out;
+}
+
+void sweep_stages(const fs::path& dir, const wire::TaskId& task) {
+    std::error_code ec;
+    for (auto& p : stages_of(dir, task)) fs::remove_all(p, ec);
+}
+
 fs::path Depot::gang_dir(const std::string& job, std::uint64_t attempt) const {
     return root_ / "gangs" / (job + "." + std::to_string(attempt));
 }
--- a/src/depot/depot.hpp
+++ b/src/depot/depot.hpp
@@ -6,6 +6,7 @@
 //   runs/<job>/<index>/<try>/     out (captured output), result.json
 //   final/<job>.<index>.json      the task's final answer: published, or given up; created once and for good
 //   final/<job>.<index>.ok        what was published stands in its place
+//   hints/<job>                   something became of the job: whoever waits may ask
 //   gangs/<job>.<try>/<index>     a gang task that waits or runs, touched while it does
 //   saved/<job>/<index>/          checkpoints
 #include <chrono>
@@ -46,7 +47,7 @@
     std::vector<std::string> directories;  // outputs that are directories
     std::vector<std::string> touch;        // outputs to be made by touching them
     std::vector<std::string> protect;      // outputs that lose their write bits
-    std::string log;                       // a file that keeps what a failed attempt wrote into it
+    std::vector<std::string> logs;         // files that keep what a failed attempt wrote into them
     bool limit_memory = false;             // `mem_gb` bounds the address space
 };
 Json to_json(const Description& d);
@@ -82,6 +83,12 @@
     std::vector<std::string> removed;  // files that the steps removed
 };
 
+// Where the attempts of tasks that work in `dir` have their private directories.
+fs::path stage_of(const fs::path& dir, const wire::Attempt& attempt);
+std::vector<fs::path> stages_of(const fs::path& dir, const wire::TaskId& task);
+// Once the task's final answer is settled.
+void sweep_stages(const fs::path& dir, const wire::TaskId& task);
+
 class Depot {
   public:
     explicit Depot(fs::path root);
@@ -100,7 +107,13 @@
     // Moves what was published into place, from whatever point an earlier try got to.
     void settle(const wire::TaskId& task, const Final& final) const;
     bool settled(const wire::TaskId& task) const;
-    void forget(const std::string& job) const;  // removes all traces of a job
+    void forget(const std::string& job) const;  // removes its description, output and checkpoints
+    // A sign for those who wait that something became of the job; it may be lost.
+    void hint(const std::string& job) const;
+    fs::path finals() const { return root_ / "final"; }
+    fs::path hints() const { return root_ / "hints"; }
+    // Of a file's name under finals(): the task whose answer stands in its place.
+    static std::optional<wire::TaskId> settled_name(const std::string& file);
 
     fs::path gang_dir(const std::string& job, std::uint64_t attempt) const;
     fs::path saved_dir(const wire::TaskId& task) const;
--- a/src/lab/child.cpp
+++ b/src/lab/child.cpp
@@ -40,7 +40,8 @@
 }
 
 Task<int> Child::wait() {
-    co_await pidfd_.async_wait(net::asio::posix::descriptor_base::wait_read, net::asio::use_awaitable);
+    while (!proc::ended(pidfd_.native_handle()))
+        co_await pidfd_.async_wait(net::asio::posix::descriptor_base::wait_read, net::asio::use_awaitable);
     auto status = proc::reap(pid_);
     reaped_ = true;
     co_return status < 0 ? 128 - status : status;
--- a/src/lab/main.cpp
+++ b/src/lab/main.cpp
@@ -58,15 +58,21 @@
     return 0;
 }
 
+std::shared_ptr<lab::Child> start_command(asio::io_context& io, lab::Site& site, const std::vector<std::string>& argv) {
+    return std::make_shared<lab::Child>(io, lab::Child::What{argv, "", site.environment(), false});
+}
+
 net::Task<int> command_in(asio::io_context& io, lab::Site& site, std::vector<std::string> argv,
                           std::shared_ptr<lab::Child>& child, bool& asked_to_end) {
-    if (!co_await site.ready(30s)) {
+    const bool up = co_await site.ready(30s);
+    if (!up) {
         std::fprintf(stderr, "barrowrun-lab: the site did not come up within 30 s; see the logs in its directory\n");
         co_return 1;
     }
     if (asked_to_end) co_return 130;
-    child = std::make_shared<lab::Child>(io, lab::Child::What{argv, "", site.environment(), false});
-    co_return co_await child->wait();
+    child = start_command(io, site, argv);
+    const int status = co_await child->wait();
+    co_return status;
 }
 
 int run_site(lab::SiteSettings settings, std::vector<std::string> argv, bool keep_dir) {
--- a/src/lab/site.cpp
+++ b/src/lab/site.cpp
@@ -78,7 +78,7 @@
         internal_.push_back(free_address());
         nodes_.push_back(way("barrow-" + std::to_string(i), public_.back()));
     }
-    Json operators{{"idle_return_s", 3600}, {"leader_hold_ms", static_cast<int>(settings_.hold_s * 1000)}};
+    Json operators{{"idle_return_s", 3600}, {"leader_hold_ms", static_cast<int>(settings_.hold_s * 1000)}, {"promise_ms", 1000}};
     depot::write_whole(settings_.dir + "/operator.json", operators.dump(2));
     Json controllers = Json::object();
     for (int i = 0; i < settings_.controllers; ++i)
@@ -169,7 +169,8 @@
             good += reply.status == 404;
         }
         auto catalog = co_await client_.call(state_, verb::get, "/kv/catalog", std::nullopt, 1s);
-        if (good == nodes_.size() && catalog.status == 200) co_return true;
+        const auto leads = co_await leader();
+        if (good == nodes_.size() && catalog.status == 200 && !leads.empty()) co_return true;
         co_await net::sleep_for(50ms);
     }
     co_return false;
--- a/src/proc/spawn.cpp
+++ b/src/proc/spawn.cpp
@@ -2,6 +2,7 @@
 
 #include <dirent.h>
 #include <fcntl.h>
+#include <poll.h>
 #include <signal.h>
 #include <sys/prctl.h>
 #include <sys/resource.h>
@@ -33,8 +34,7 @@
 }  // namespace
 
 pid_t spawn(const Spawn& what) {
-    // Everything that allocates happens before the fork: between fork and exec only plain system calls are
-    // safe in a process with threads.
+    // Everything that allocates happens before: between vfork and exec only plain system calls are safe.
     std::vector<char*> argv;
     for (auto& a : what.argv) argv.push_back(const_cast<char*>(a.c_str()));
     argv.push_back(nullptr);
@@ -49,8 +49,11 @@
     for (auto& p : pairs) envp.push_back(p.data());
     envp.push_back(nullptr);
     const pid_t parent = ::getpid();
-    const pid_t pid = ::fork();
-    if (pid < 0) throw std::system_error(errno, std::generic_category(), "fork");
+    // vfork: this process goes on only after the exec, so the child never holds descriptors that this one closes
+    // meanwhile. After a plain fork it did for a moment, which kept them in the reactor's set: their late events
+    // were taken for those of other descriptors, and running commands for ended ones.
+    const pid_t pid = ::vfork();
+    if (pid < 0) throw std::system_error(errno, std::generic_category(), "vfork");
     if (pid > 0) {
         if (what.own_group) ::setpgid(pid, pid);
         return pid;
@@ -87,6 +90,11 @@
     return fd;
 }
 
+bool ended(int watched) {
+    pollfd p{watched, POLLIN, 0};
+    return ::poll(&p, 1, 0) > 0;
+}
+
 int reap(pid_t pid) {
     int status = 0;
     while (::waitpid(pid, &status, 0) < 0 && errno == EINTR) {
--- a/src/proc/spawn.hpp
+++ b/src/proc/spawn.hpp
@@ -23,6 +23,7 @@
 pid_t spawn(const Spawn& what);
 // Becomes readable when the process ends. Throws std::system_error.
 int watch(pid_t pid);
+bool ended(int watched);  // whether that descriptor says so now
 // Waits for the process, and gives the exit status, or the signal's number, negative.
 int reap(pid_t pid);
 
--- a/src/worker/executor.cpp
+++ b/src/worker/executor.cpp
@@ -226,10 +226,14 @@
         result.cause = e.what();
         if (result.status == 0) result.status = 125;
     }
-    result.ran_s = Seconds(Clock::now() - r->began).count();
+    if (!done) result.ran_s = Seconds(Clock::now() - r->began).count();
     if (!done) spdlog::info("{} failed: {} (status {})", a.task.str(), result.cause, result.status);
     try {
-        co_await aside([&] { depot_.keep_result(a, result); });
+        co_await aside([&] {
+            if (done) return;
+            depot_.keep_result(a, result);
+            depot_.hint(a.task.job);
+        });
     } catch (const std::exception& e) {
         spdlog::warn("the result of {} can't be kept: {}", a.task.str(), e.what());
     }
@@ -316,7 +320,12 @@
         // Only a live lease may decide. Should this process hang right here and go on after its lease, the
         // decision is still made once: whoever comes second finds it.
         if (good && machine_.may_publish(a, Clock::now())) {
+            result.output_bytes = out.total();
+            result.tail = out.tail();
+            result.ran_s = Seconds(Clock::now() - r->began).count();
             co_await aside([&] {
+                // Whoever hears of the decision may ask how it went.
+                depot_.keep_result(a, result);
                 if (!depot_.decide(a.task, final)) final = depot_.final(a.task).value();
                 if (final.published) depot_.settle(a.task, final);
             });
--- a/src/worker/process.cpp
+++ b/src/worker/process.cpp
@@ -46,7 +46,8 @@
     using namespace net::asio::experimental::awaitable_operators;
     std::vector<char> part(65536);
     auto ended = [this]() -> Task<> {
-        co_await pidfd_.async_wait(net::asio::posix::descriptor_base::wait_read, net::asio::use_awaitable);
+        while (!proc::ended(pidfd_.native_handle()))
+            co_await pidfd_.async_wait(net::asio::posix::descriptor_base::wait_read, net::asio::use_awaitable);
     };
     auto read = [&]() -> Task<> {
         for (;;) {
--- a/src/worker/stage.cpp
+++ b/src/worker/stage.cpp
@@ -40,17 +40,13 @@
     }
 }
 
-std::string task_prefix(const wire::TaskId& task) {
-    return task.job + "." + std::to_string(task.index) + ".";
-}
-
 }  // namespace
 
 Stage::Stage(const depot::Description& what, const wire::Attempt& attempt)
     : what_(what),
       task_(attempt.task),
       dir_(what.dir),
-      root_(dir_ / ".barrowrun" / "stage" / (task_prefix(attempt.task) + std::to_string(attempt.number))),
+      root_(depot::stage_of(dir_, attempt)),
       work_(root_ / "work") {
     auto way = [this](const fs::path& rel) {
         for (auto p = rel.parent_path(); !p.empty(); p = p.parent_path()) spine_.insert(p);
@@ -61,6 +57,8 @@
             outputs_.insert(rel);
             way(rel);
         }
+    for (auto& l : what_.logs)
+        if (inside(l)) way(fs::path(l).lexically_normal());
     for (auto& d : what_.directories) whole_.insert(fs::path(d).lexically_normal());
     for (auto& i : what_.inputs)
         if (inside(i)) {
@@ -93,22 +91,8 @@
     }
 }
 
-std::vector<fs::path> Stage::left_by(const fs::path& dir, const wire::TaskId& task) {
-    std::error_code ec;
-    auto prefix = task_prefix(task);
-    std::vector<fs::path> out;
-    for (auto& e : fs::directory_iterator(dir / ".barrowrun" / "stage", ec))
-        if (e.path().filename().string().starts_with(prefix)) out.push_back(e.path());
-    return out;
-}
-
-void Stage::sweep(const fs::path& dir, const wire::TaskId& task) {
-    std::error_code ec;
-    for (auto& p : left_by(dir, task)) fs::remove_all(p, ec);
-}
-
 void Stage::prepare() {
-    for (auto& p : left_by(dir_, task_)) undo_outside(p);
+    for (auto& p : depot::stages_of(dir_, task_)) undo_outside(p);
     std::error_code ec;
     fs::create_directories(what_.in_private ? work_ : root_, ec);
     if (ec) throw FileError("mkdir", work_, ec.value());
@@ -128,7 +112,9 @@
     mirror("");
     // Directories that the outputs need are there for the steps, where the rules' language makes them.
     if (what_.must_produce)
-        for (auto& o : outputs_) fs::create_directories((work_ / o).parent_path());
+        for (auto* list : {&what_.outputs, &what_.logs})
+            for (auto& o : *list)
+                if (inside(o)) fs::create_directories((work_ / o).parent_path());
 }
 
 void Stage::mirror(const fs::path& rel) {
@@ -250,13 +236,12 @@
 
 void Stage::abandon() {
     undo_outside(root_);
-    if (!what_.log.empty() && what_.in_private && inside(what_.log)) {
+    for (auto& log : what_.logs) {
         std::error_code ec;
-        auto from = work_ / what_.log;
-        if (fs::is_regular_file(fs::symlink_status(from, ec))) {
-            fs::create_directories((dir_ / what_.log).parent_path(), ec);
-            fs::rename(from, dir_ / what_.log, ec);
-        }
+        auto from = work_ / log;
+        if (!what_.in_private || !inside(log) || !fs::is_regular_file(fs::symlink_status(from, ec))) continue;
+        fs::create_directories((dir_ / log).parent_path(), ec);
+        fs::rename(from, dir_ / log, ec);
     }
     clear();
 }
--- a/src/worker/stage.hpp
+++ b/src/worker/stage.hpp
@@ -31,8 +31,6 @@
     // After anything else: changed outputs outside are removed, and the log of a failure is kept.
     void abandon();
     void clear();  // removes the directory
-    // Removes what attempts of a task left under `dir`, once its final answer is settled.
-    static void sweep(const fs::path& dir, const wire::TaskId& task);
 
   private:
     struct Seen {
@@ -46,7 +44,6 @@
     void publish(const fs::path& rel, depot::Final& out);
     bool inside(const std::string& path) const;
     static void undo_outside(const fs::path& stage);
-    static std::vector<fs::path> left_by(const fs::path& dir, const wire::TaskId& task);
 
     const depot::Description& what_;
     wire::TaskId task_;
--- a/src/workflow/graph.hpp
+++ b/src/workflow/graph.hpp
@@ -57,8 +57,7 @@
     std::vector<std::string> inputs;  // files that the steps read, as far as the rules tell
     bool in_private = true;
     bool must_produce = false, fresh_outputs = false, delete_on_error = true, limit_memory = false;
-    std::vector<std::string> directories, touch, protect;
-    std::string log;
+    std::vector<std::string> directories, touch, protect, logs;
     wire::Resources need{1, 0, 0.5};
     std::string job_class = "flow", image = "none";
     wire::Priority rank = wire::Priority::normal;
