Answers to commands count as reports; rule files of our own, compared with plain make

Change: what the answer to /commands tells needs no other report. Double-colon rules are judged by their file's age when the first of them was looked at.

--- a/src/depot/depot.cpp
+++ b/src/depot/depot.cpp
@@ -235,7 +235,8 @@
     }
     for (auto& p : parents)
         if (fs::exists(p)) sync_dir(p);
-    create_once(final_path(task, ".ok"), "");
+    // Not synced: if it is lost, the answer is settled once more, which changes nothing.
+    std::ofstream(final_path(task, ".ok"));
 }
 
 void Depot::forget(const std::string& job) const {
--- a/src/worker/agent.cpp
+++ b/src/worker/agent.cpp
@@ -183,7 +183,11 @@
     bool executed = machine_.commanded(*token, *session, *commands, now);
     changed();
     if (!executed && machine_.ending()) co_return net::Response{503, {{"error", "between two sessions"}}, 1};
-    co_return net::Response{executed ? 200 : 409, wire::report_json(machine_.report(now))};
+    // A description is there within a moment: the answer should tell of a start rather than of a fetch.
+    for (int i = 0; executed && i < 20 && machine_.fetching(); ++i) co_await net::sleep_for(1ms);
+    auto report = machine_.report(Clock::now());
+    if (executed && !machine_.fetching()) machine_.told();
+    co_return net::Response{executed ? 200 : 409, wire::report_json(report)};
 }
 
 }  // namespace barrowrun::worker
--- a/src/worker/executor.cpp
+++ b/src/worker/executor.cpp
@@ -338,8 +338,12 @@
     result.output_bytes = out.total();
     result.tail = out.tail();
     co_await aside([&] {
-        if (done) stage.clear();
-        else stage.abandon();
+        if (!done) stage.abandon();
+    });
+    // Nobody waits for the cleaning up after a success.
+    if (done) net::asio::post(pool_, [root = stage.root()] {
+        std::error_code ec;
+        fs::remove_all(root, ec);
     });
     co_return done;
 }
--- a/src/worker/machine.cpp
+++ b/src/worker/machine.cpp
@@ -17,6 +17,11 @@
       session_(session),
       renewed_(now) {}
 
+bool Machine::fetching() const {
+    return std::any_of(tasks_.begin(), tasks_.end(),
+                       [](auto& kv) { return kv.second.state == TaskState::fetching; });
+}
+
 std::size_t Machine::live() const {
     return static_cast<std::size_t>(
         std::count_if(tasks_.begin(), tasks_.end(), [](auto& kv) { return kv.second.state != TaskState::exited; }));
--- a/src/worker/stage.cpp
+++ b/src/worker/stage.cpp
@@ -243,10 +243,6 @@
         fs::create_directories((dir_ / log).parent_path(), ec);
         fs::rename(from, dir_ / log, ec);
     }
-    clear();
-}
-
-void Stage::clear() {
     std::error_code ec;
     fs::remove_all(root_, ec);
 }
--- a/src/worker/stage.hpp
+++ b/src/worker/stage.hpp
@@ -25,12 +25,12 @@
     void prepare();
     // Where the steps run.
     const fs::path& work() const { return work_; }
+    const fs::path& root() const { return root_; }
     // After a success: what is to be published, hashed and synced. Throws std::runtime_error with one line if
     // an output that must exist is missing.
     depot::Final collect(std::uint64_t attempt, const std::string& machine);
     // After anything else: changed outputs outside are removed, and the log of a failure is kept.
     void abandon();
-    void clear();  // removes the directory
 
   private:
     struct Seen {
--- a/src/workflow/driver.cpp
+++ b/src/workflow/driver.cpp
@@ -113,7 +113,7 @@
             for (auto& a : actions) {
                 switch (a.kind) {
                     case FlowAction::look:
-                        flow_.looked(a.node, look(a.node));
+                        flow_.looked(a.node, judge(a.node));
                         break;
                     case FlowAction::start:
                         prepare(a.node, batch);
@@ -146,6 +146,14 @@
     }
 }
 
+Facts Driver::judge(NodeId n) {
+    const auto& with = rules_.graph().nodes[n].judged_with;
+    if (!with) return look(n);
+    auto it = judged_.find(*with);
+    if (it == judged_.end()) it = judged_.emplace(*with, look(n)).first;
+    return it->second;
+}
+
 Facts Driver::look(NodeId n) {
     const auto& node = rules_.graph().nodes[n];
     Facts f;
--- a/src/workflow/driver.hpp
+++ b/src/workflow/driver.hpp
@@ -57,6 +57,7 @@
     void resume();
     void act();
     Facts look(NodeId n);
+    Facts judge(NodeId n);
     void prepare(NodeId n, std::vector<Handle>& batch);
     Task<> begin(std::vector<Handle> batch);
     void put_on_record(const std::vector<Handle>& batch);
@@ -85,6 +86,7 @@
     std::vector<std::string> keys_;
     std::map<std::string, Handle> running_;  // by job
     std::map<std::string, std::string> known_recipes_, jobs_on_record_;
+    std::map<NodeId, Facts> judged_;  // what was seen at the first of nodes that are judged together
     std::exception_ptr broken_;
     bool cancelled_ = false;
     int cancelling_ = 0;  // cancellations that have no answer yet
--- a/src/workflow/graph.hpp
+++ b/src/workflow/graph.hpp
@@ -47,6 +47,9 @@
     bool keep = false;                 // of a passing one: not removed
     bool remove_early = false;         // removed once all that need it are done, not at the end
     int priority = 0;                  // greater first, among what may start
+    // Of several rules for one file that are independent of one another: its age counts as it was when the first
+    // of them was looked at.
+    std::optional<NodeId> judged_with;
 };
 
 // How a node is made.
--- a/src/workflow/make/expand.cpp
+++ b/src/workflow/make/expand.cpp
@@ -449,6 +449,7 @@
               const Variable* v = e.find(strip(a[0]), s);
               switch (v ? v->origin : Origin::undefined) {
                   case Origin::undefined: return std::string("undefined");
+                  case Origin::default_: return std::string("default");
                   case Origin::environment: return std::string("environment");
                   case Origin::file: return std::string("file");
                   case Origin::command_line: return std::string("command line");
--- a/src/workflow/make/expand.hpp
+++ b/src/workflow/make/expand.hpp
@@ -12,7 +12,7 @@
 
 namespace barrowrun::workflow::make {
 
-enum class Origin { undefined, environment, file, command_line, override_, automatic };
+enum class Origin { undefined, default_, environment, file, command_line, override_, automatic };
 
 struct Variable {
     std::string value;
--- a/src/workflow/make/makefile.cpp
+++ b/src/workflow/make/makefile.cpp
@@ -113,6 +113,7 @@
     parser_.built_in(true);
     parser_.text(built_in_rules, {"built-in rules", 1});
     for (auto& p : book_.patterns) p.built_in = true;
+    for (auto& [name, v] : global) v.origin = Origin::default_;
     parser_.built_in(false);
     for (char** e = environ; *e; ++e) {
         const char* eq = std::strchr(*e, '=');
@@ -122,9 +123,9 @@
         from_environment_.insert(name);
         global[name] = {eq + 1, true, Origin::environment, {}};
     }
-    set("MAKE", "make", Origin::file);
-    set("MAKE_COMMAND", "make", Origin::file);
-    set("MAKE_VERSION", "4.3", Origin::file);
+    set("MAKE", "make", Origin::default_);
+    set("MAKE_COMMAND", "make", Origin::default_);
+    set("MAKE_VERSION", "4.3", Origin::default_);
     set("MAKELEVEL", "0", Origin::file);
     set("MAKEFLAGS", "", Origin::file);
     set("CURDIR", options.dir, Origin::file);
--- a/src/workflow/make/resolve.cpp
+++ b/src/workflow/make/resolve.cpp
@@ -322,7 +322,7 @@
 
 // Rules with `::` are independent of one another, and run in their order.
 NodeId Resolver::double_colon(const std::string& name, const Target& target, const std::shared_ptr<Scope>& parent) {
-    std::optional<NodeId> before;
+    std::optional<NodeId> before, first;
     auto scope = scope_for(name, parent);
     for (auto& r : target.rules) {
         if (!r->double_colon) throw RuleError(r->at, name + " has both : and :: rules");
@@ -343,6 +343,8 @@
         auto id = add(std::move(node));
         fill(id, std::move(m), scope);
         if (before) graph_.nodes[id].needs.push_back({*before, true});
+        else first = id;
+        graph_.nodes[id].judged_with = first;
         before = id;
     }
     // Who needs the name needs the last, which comes after all others.
--- a/src/workflow/snakemake/prelude.py
+++ b/src/workflow/snakemake/prelude.py
@@ -129,10 +129,15 @@
             if name: self._names[name] = value
             self.append(value)
 
+    def __getattribute__(self, name):
+        # A name of the user's goes before one that lists have, as `count`.
+        if not name.startswith("_"):
+            names = object.__getattribute__(self, "__dict__").get("_names", {})
+            if name in names: return names[name]
+        return super().__getattribute__(name)
+
     def __getattr__(self, name):
-        if name.startswith("_"): raise AttributeError(name)
-        try: return self._names[name]
-        except KeyError: raise AttributeError("there is no %r in %s" % (name, list(self._names) or "this list")) from None
+        raise AttributeError("there is no %r in %s" % (name, list(self._names) or "this list"))
 
     def get(self, name, otherwise=None): return self._names.get(name, otherwise)
     def keys(self): return self._names.keys()
--- /dev/null
+++ b/tests/rules/make/01-explicit/then.sh
@@ -0,0 +1,1 @@
+echo more >> notes
--- /dev/null
+++ b/tests/rules/make/02-pattern/then.sh
@@ -0,0 +1,1 @@
+echo x >> src/si.md
--- /dev/null
+++ b/tests/rules/make/03-static-pattern/then.sh
@@ -0,0 +1,1 @@
+touch common
--- /dev/null
+++ b/tests/rules/make/06-order-only/then.sh
@@ -0,0 +1,1 @@
+touch out; touch a
--- /dev/null
+++ b/tests/rules/make/10-intermediate/then.sh
@@ -0,0 +1,1 @@
+touch one.raw
--- /dev/null
+++ b/tests/rules/make/14-automatic/then.sh
@@ -0,0 +1,1 @@
+touch in/b.x
--- /dev/null
+++ b/tests/rules/make/16-include/conf.mk
@@ -0,0 +1,3 @@
+WORD = included
+EXTRA = y
+y: ; echo made in conf > y
--- /dev/null
+++ b/tests/rules/make/22-built-in-c/greet.c
@@ -0,0 +1,3 @@
+#include <stdio.h>
+#include "greet.h"
+void greet(void){puts("hello");}
--- /dev/null
+++ b/tests/rules/make/22-built-in-c/greet.h
@@ -0,0 +1,1 @@
+void greet(void);
--- /dev/null
+++ b/tests/rules/make/22-built-in-c/hello.c
@@ -0,0 +1,2 @@
+#include "greet.h"
+int main(void){greet();return 0;}
--- /dev/null
+++ b/tests/rules/make/22-built-in-c/then.sh
@@ -0,0 +1,1 @@
+touch greet.h
--- /dev/null
+++ b/tests/rules/make/23-move-if-changed/then.sh
@@ -0,0 +1,1 @@
+echo "value # other note" > input
--- /dev/null
+++ b/tests/rules/make/25-append/then.sh
@@ -0,0 +1,1 @@
+echo another > entry
--- /dev/null
+++ b/tests/rules/make/27-clean-by-a-file-rule/then.sh
@@ -0,0 +1,1 @@
+rm -f none; echo clean > goals.txt
--- /dev/null
+++ b/tests/rules/make/28-empty-targets/then.sh
@@ -0,0 +1,1 @@
+echo bb > b.txt
--- /dev/null
+++ b/tests/rules/snakemake/11-include/rules/extra.smk
@@ -0,0 +1,3 @@
+rule extra:
+    output: "{n}.extra"
+    shell: "echo {rule} > {output}"
