--- a/src/workflow/flow.cpp
+++ b/src/workflow/flow.cpp
@@ -249,7 +249,6 @@
         settled_.pop_front();
         for (auto u : nodes_[n].users) need_settled(u);
     }
-    fill();
 }
 
 void Flow::need_settled(NodeId user) {
@@ -287,6 +286,8 @@
 }
 
 std::vector<FlowAction> Flow::take_actions() {
+    // Only when all that was to be looked at has been: what has priority may be among it.
+    if (actions_.empty()) fill();
     return std::exchange(actions_, {});
 }
 
--- a/src/workflow/make/expand.cpp
+++ b/src/workflow/make/expand.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <cstdio>
+#include <cstring>
 #include <filesystem>
 #include <set>
 
@@ -168,6 +169,28 @@
     return out;
 }
 
+void Expander::check(std::string_view text, const Place& at) {
+    for (std::size_t i = 0; i + 1 < text.size(); ++i) {
+        if (text[i] != '$') continue;
+        char open = text[i + 1], close = open == '(' ? ')' : '}';
+        if (open != '(' && open != '{') {
+            ++i;
+            continue;
+        }
+        int depth = 0;
+        std::size_t end = i + 1;
+        for (; end < text.size(); ++end) {
+            if (text[end] == open) ++depth;
+            else if (text[end] == close && --depth == 0) break;
+        }
+        if (end == text.size()) throw RuleError(at, std::string("unterminated reference: expected '") + close + "'");
+        auto inside = text.substr(i + 2, end - i - 2);
+        for (auto* f : {"guile ", "file ", "eval "})
+            if (inside.starts_with(f)) throw RuleError(at, "$(" + std::string(f, std::strlen(f) - 1) + " ...) isn't supported here");
+        ++i;
+    }
+}
+
 std::string Expander::reference(std::string_view inside, const Scope* scope, const Place& at) {
     // A function: its name, and a blank after it.
     auto end = inside.find_first_of(" \t");
--- a/src/workflow/make/expand.hpp
+++ b/src/workflow/make/expand.hpp
@@ -37,6 +37,8 @@
     explicit Expander(std::string dir) : dir_(std::move(dir)) {}
     // `scope`: null for the global variables alone.
     std::string expand(std::string_view text, const Scope* scope, const Place& at);
+    // Throws if a reference doesn't end, or names a function that isn't supported; expands nothing.
+    static void check(std::string_view text, const Place& at);
     const Variable* find(const std::string& name, const Scope* scope) const;
     std::string value(const std::string& name, const Scope* scope, const Place& at);
 
--- a/src/workflow/make/makefile.cpp
+++ b/src/workflow/make/makefile.cpp
@@ -157,6 +157,15 @@
     graph_.warnings.insert(graph_.warnings.end(), book_.warnings.begin(), book_.warnings.end());
     one_shell_ = resolver_->special(".ONESHELL");
     silent_ = resolver_->special(".SILENT");
+    // What can be known to be wrong with a recipe is said before any runs.
+    std::set<const Recipe*> checked;
+    for (auto& making : resolver_->makings()) {
+        if (!making.recipe || making.recipe->lines.empty()) continue;
+        Work w;
+        resources(w, making.scope.get(), making.recipe->at);
+        if (checked.insert(making.recipe.get()).second)
+            for (auto& line : making.recipe->lines) Expander::check(line.text, line.at);
+    }
     // From here on, what is expanded is recipes.
     expander_.on_eval = nullptr;
 }
@@ -278,19 +287,23 @@
     auto direct = strip(expander_.value("BARROW_DIRECT", &scope, at));
     w.in_private = !node.phony && (direct.empty() || direct == "0");
     w.delete_on_error = true;
-    w.need.cpus = number("BARROW_CPUS", &scope, at, 1, 0, 4096);
-    w.need.gpus = number("BARROW_GPUS", &scope, at, 0, 0, 64);
-    w.need.mem_gb = number("BARROW_MEM_GB", &scope, at, 0.25, 0, 65536);
-    w.limit_memory = expander_.find("BARROW_MEM_GB", &scope) != nullptr && w.need.mem_gb > 0;
-    w.retries = static_cast<std::uint32_t>(number("BARROW_RETRIES", &scope, at, 0, 0, wire::max_retries));
-    w.estimate_s = number("BARROW_ESTIMATE_S", &scope, at, 10, 0, 1e6);
-    if (auto c = strip(expander_.value("BARROW_CLASS", &scope, at)); !c.empty()) w.job_class = c;
-    if (auto r = strip(expander_.value("BARROW_RANK", &scope, at)); !r.empty()) {
+    resources(w, &scope, at);
+    return w;
+}
+
+void Makefile::resources(Work& w, const Scope* scope, const Place& at) {
+    w.need.cpus = number("BARROW_CPUS", scope, at, 1, 0, 4096);
+    w.need.gpus = number("BARROW_GPUS", scope, at, 0, 0, 64);
+    w.need.mem_gb = number("BARROW_MEM_GB", scope, at, 0.25, 0, 65536);
+    w.limit_memory = expander_.find("BARROW_MEM_GB", scope) != nullptr && w.need.mem_gb > 0;
+    w.retries = static_cast<std::uint32_t>(number("BARROW_RETRIES", scope, at, 0, 0, wire::max_retries));
+    w.estimate_s = number("BARROW_ESTIMATE_S", scope, at, 10, 0, 1e6);
+    if (auto c = strip(expander_.value("BARROW_CLASS", scope, at)); !c.empty()) w.job_class = c;
+    if (auto r = strip(expander_.value("BARROW_RANK", scope, at)); !r.empty()) {
         auto rank = wire::priority_of(r);
         if (!rank) throw RuleError(at, "BARROW_RANK: expected production, urgent, normal or low, not '" + r + "'");
         w.rank = *rank;
     }
-    return w;
 }
 
 }  // namespace barrowrun::workflow::make
--- a/src/workflow/make/makefile.hpp
+++ b/src/workflow/make/makefile.hpp
@@ -22,6 +22,8 @@
   private:
     void read(const MakeOptions& options);
     std::map<std::string, std::string> environment(const Scope* scope, const Place& at);
+    // What the BARROW_ variables say.
+    void resources(Work& w, const Scope* scope, const Place& at);
     double number(const std::string& name, const Scope* scope, const Place& at, double otherwise, double least,
                   double most);
     std::string file_;
--- a/src/workflow/make/parse.cpp
+++ b/src/workflow/make/parse.cpp
@@ -107,7 +107,12 @@
 void Parser::file(const std::string& name) {
     fs::path path = name;
     if (path.is_relative()) path = fs::path(expander_.dir()) / path;
-    auto content = depot::read_all(path);
+    std::optional<std::string> content;
+    try {
+        content = depot::read_all(path);
+    } catch (const depot::FileError& e) {
+        throw RuleError(Place{name, 0}, e.what());
+    }
     if (!content) throw RuleError(Place{name, 0}, "there is no such file");
     if (std::count(including_.begin(), including_.end(), name) > 20)
         throw RuleError(Place{name, 0}, "it includes itself without end");
--- a/src/workflow/make/resolve.cpp
+++ b/src/workflow/make/resolve.cpp
@@ -438,7 +438,8 @@
             if (!p.match(in_dir ? notdir_part(name) : name, &stem) || stem.empty()) continue;
             bool anything = t == "%";
             specific |= !anything;
-            candidates.push_back({&r, stem.size(), anything});
+            // The directory counts as part of the stem here, as in Make.
+            candidates.push_back({&r, stem.size() + (in_dir ? dir_part(name).size() : 0), anything});
             break;
         }
     }
--- a/tests/rules/kills.sh
+++ b/tests/rules/kills.sh
@@ -39,19 +39,20 @@
     at=$(printf '0.%03d' $((RANDOM % 1000))); at=$(echo "$at * 1.6" | bc)
     targets=(driver driver leader barrow-0 barrow-1 barrow-2 state state worker worker machine machine)
     what=${targets[RANDOM % ${#targets[@]}]}
-    "$ctl" --json make -C "$work/site" > "$work/out" 2> "$work/err" &
+    # Bounded by timeout, but for a driver that is to be killed itself. (A guard of our own in a subshell, killed in
+    # its turn, ran this shell's exit trap once.)
+    guard="timeout 90"; [ "$what" = driver ] && guard=""
+    $guard "$ctl" --json make -C "$work/site" > "$work/out" 2> "$work/err" &
     driver=$!
     sleep "$at"
     if [ "$what" = driver ]; then
         kill -9 $driver 2> /dev/null; wait $driver 2> /dev/null
-        "$ctl" --json make -C "$work/site" >> "$work/out" 2>> "$work/err" &
+        timeout 90 "$ctl" --json make -C "$work/site" >> "$work/out" 2>> "$work/err" &
         driver=$!
     else
         "$lab" fault kill "$what" > /dev/null 2>> "$work/err"
     fi
-    (sleep 90; kill -9 $driver 2> /dev/null) & guard=$!
     wait $driver; status=$?
-    kill $guard 2> /dev/null; wait $guard 2> /dev/null
     [ $status -eq 0 ] || { say "status $status"; tail -5 "$work/out" "$work/err"; }
     diff -r --exclude=.barrowrun "$work/plain" "$work/site" > "$work/diff" || { say "files differ"; head -10 "$work/diff"; }
     twice=$(grep -o '"state":"done","target":"[^"]*"' "$work/out" | sort | uniq -d)
