--- a/src/lab/site.cpp
+++ b/src/lab/site.cpp
@@ -209,6 +209,9 @@
         what = all[random_() % all.size()];
     }
     body["what"] = what;
+    // What was connected may have been killed meanwhile.
+    client_.forget(state_);
+    client_.forget(cloud_);
     if (what.starts_with("machine") || what.starts_with("worker")) {
         auto reply = co_await client_.call(cloud_, verb::post, "/lab/machine", body, 5s);
         co_return Response{reply.status ? reply.status : 503, std::move(reply.body)};
--- a/tests/rules/compare.sh
+++ b/tests/rules/compare.sh
@@ -22,7 +22,7 @@
     # shellcheck disable=SC2086
     "$ctl" --json make -C "$work/site" $goals > "$work/site.out" 2> "$work/site.err"; local site=$?
     if [ $((plain != 0)) -ne $((site != 0)) ]; then
-        say "status $plain by make, $site here ($1)"; tail -5 "$work/plain.out" "$work/site.out" "$work/site.err"
+        say "status $plain by make, $site here ($1)"; tail -n 5 "$work/plain.out" "$work/site.out" "$work/site.err"
     fi
     local twice; twice=$(grep -o '"state":"done","target":"[^"]*"' "$work/site.out" | sort | uniq -d | grep -v '"log"')
     [ -z "$twice" ] || say "made twice ($1): $twice"
--- a/tests/rules/kills.sh
+++ b/tests/rules/kills.sh
@@ -53,7 +53,7 @@
         "$lab" fault kill "$what" > /dev/null 2>> "$work/err"
     fi
     wait $driver; status=$?
-    [ $status -eq 0 ] || { say "status $status"; tail -5 "$work/out" "$work/err"; }
+    [ $status -eq 0 ] || { say "status $status"; tail -n 5 "$work/out" "$work/err"; }
     diff -r --exclude=.barrowrun "$work/plain" "$work/site" > "$work/diff" || { say "files differ"; head -10 "$work/diff"; }
     twice=$(grep -o '"state":"done","target":"[^"]*"' "$work/out" | sort | uniq -d)
     [ -z "$twice" ] || say "made twice: $twice"
--- a/tests/rules/snake.sh
+++ b/tests/rules/snake.sh
@@ -18,9 +18,9 @@
     "$ctl" --json snake -C "$work/site" $args > "$work/out" 2>&1; status=$?
     if [ -f "$case/fails.txt" ]; then
         [ $status -ne 0 ] || say "it should fail"
-        grep -qF "$(cat "$case/fails.txt")" "$work/out" || { say "not the error that was expected"; tail -3 "$work/out"; }
+        grep -qF "$(cat "$case/fails.txt")" "$work/out" || { say "not the error that was expected"; tail -n 3 "$work/out"; }
     else
-        [ $status -eq 0 ] || { say "status $status"; tail -5 "$work/out"; }
+        [ $status -eq 0 ] || { say "status $status"; tail -n 5 "$work/out"; }
         diff -r --exclude=.barrowrun "$case/expected" "$work/site" 2>&1 | grep -v '^Only in .*/site' > "$work/diff"
         [ -s "$work/diff" ] && { say "files differ"; head "$work/diff"; }
         # shellcheck disable=SC2086
