--- a/bench/workflow_bench.cpp
+++ b/bench/workflow_bench.cpp
@@ -1,4 +1,5 @@
-// The decisions and the Make reader at growing sizes: time per target must not grow faster than its logarithm.
+// The decisions and the Make reader at growing sizes: time per target must not grow faster than its
+// logarithm.
 #include <benchmark/benchmark.h>
 
 #include <filesystem>
@@ -22,7 +23,8 @@
         node.has_work = true;
         if (i >= 100)
             for (std::size_t k = 0; k < 3; ++k)
-                node.needs.push_back({static_cast<NodeId>(i / 100 * 100 - 100 + (i * 7 + k * 31) % 100), false});
+                node.needs.push_back(
+                    {static_cast<NodeId>(i / 100 * 100 - 100 + (i * 7 + k * 31) % 100), false});
         g.nodes.push_back(std::move(node));
         if (i + 100 >= n) g.goals.push_back(static_cast<NodeId>(i));
     }
@@ -47,7 +49,11 @@
     }
     state.SetComplexityN(state.range(0));
 }
-BENCHMARK(whole_flow)->RangeMultiplier(4)->Range(1000, 64000)->Complexity(benchmark::oNLogN)->Unit(benchmark::kMillisecond);
+BENCHMARK(whole_flow)
+    ->RangeMultiplier(4)
+    ->Range(1000, 64000)
+    ->Complexity(benchmark::oNLogN)
+    ->Unit(benchmark::kMillisecond);
 
 void read_makefile(benchmark::State& state) {
     auto dir = std::filesystem::temp_directory_path() / ("barrowrun-bench-" + std::to_string(::getpid()));
@@ -71,7 +77,11 @@
     std::filesystem::remove_all(dir);
     state.SetComplexityN(state.range(0));
 }
-BENCHMARK(read_makefile)->RangeMultiplier(4)->Range(1000, 64000)->Complexity(benchmark::oNLogN)->Unit(benchmark::kMillisecond);
+BENCHMARK(read_makefile)
+    ->RangeMultiplier(4)
+    ->Range(1000, 64000)
+    ->Complexity(benchmark::oNLogN)
+    ->Unit(benchmark::kMillisecond);
 
 }  // namespace
 
--- a/src/client/client.cpp
+++ b/src/client/client.cpp
@@ -15,7 +15,8 @@
         at = end + 1;
         if (node.empty()) continue;
         if (!net::parse_endpoint(node))
-            throw std::runtime_error("'" + node + "': expected an IP address and a port, as in 127.0.0.1:8080");
+            throw std::runtime_error("'" + node +
+                                     "': expected an IP address and a port, as in 127.0.0.1:8080");
         out.push_back(node);
     }
     if (out.empty()) throw std::runtime_error("expected at least one node");
@@ -27,7 +28,8 @@
     next_ = random_() % nodes_.size();
 }
 
-Task<net::Reply> Client::ask(verb method, std::string target, std::optional<Json> body, Clock::duration deadline) {
+Task<net::Reply> Client::ask(verb method, std::string target, std::optional<Json> body,
+                             Clock::duration deadline) {
     // In turn, so that load spreads; nodes that failed just now only if all did.
     auto now = Clock::now();
     std::size_t at = next_++ % nodes_.size();
@@ -58,9 +60,12 @@
             out.why = wire::text(reply.body, "error").value_or("status " + std::to_string(reply.status));
             co_return out;
         }
-        out.why = reply.status == 0 ? "no answer" : wire::text(reply.body, "error").value_or("status " + std::to_string(reply.status));
+        out.why = reply.status == 0
+                      ? "no answer"
+                      : wire::text(reply.body, "error").value_or("status " + std::to_string(reply.status));
         auto wait = pause;
-        if (reply.retry_after) wait = std::max<Clock::duration>(wait, std::min<std::chrono::seconds>(*reply.retry_after, 30s));
+        if (reply.retry_after)
+            wait = std::max<Clock::duration>(wait, std::min<std::chrono::seconds>(*reply.retry_after, 30s));
         // Not all at the same moment: an outage must not end in a storm.
         wait = std::chrono::duration_cast<Clock::duration>(
             wait * std::uniform_real_distribution<double>(0.75, 1.25)(random_));
@@ -93,7 +98,9 @@
             out.answer = Answer::unknown;
             co_return out;
         }
-        out.why = reply.status == 0 ? "no answer" : wire::text(reply.body, "error").value_or("status " + std::to_string(reply.status));
+        out.why = reply.status == 0
+                      ? "no answer"
+                      : wire::text(reply.body, "error").value_or("status " + std::to_string(reply.status));
     }
     co_return out;
 }
--- a/src/client/client.hpp
+++ b/src/client/client.hpp
@@ -1,6 +1,6 @@
 #pragma once
-// Users' side of the protocol: submissions under ids of their own, repeated until there is an answer, spread over
-// the nodes. Safe to repeat: a job that is known is never submitted twice.
+// Users' side of the protocol: submissions under ids of their own, repeated until there is an answer, spread
+// over the nodes. Safe to repeat: a job that is known is never submitted twice.
 #include <random>
 #include <string>
 #include <vector>
--- a/src/ctl/flows.cpp
+++ b/src/ctl/flows.cpp
@@ -60,7 +60,8 @@
     return p.string();
 }
 
-std::unique_ptr<workflow::Rules> read_rules(const FlowCall& c, const std::function<void(const std::string&)>& say) {
+std::unique_ptr<workflow::Rules> read_rules(const FlowCall& c,
+                                            const std::function<void(const std::string&)>& say) {
     if (c.kind == "snake")
         return std::make_unique<workflow::snakemake::Snakefile>(
             workflow::snakemake::SnakeOptions{c.dir, c.file, c.targets, c.variables});
@@ -79,8 +80,10 @@
     for (;;) {
         auto now = journal.find(flow.id);
         if (now && now->state != FlowState::open) {
-            if (options.json) print({{"flow", flow.id}, {"state", workflow::flow_state_name(now->state)}});
-            else std::printf("flow %s %s\n", flow.id.c_str(), workflow::flow_state_name(now->state));
+            if (options.json)
+                print({{"flow", flow.id}, {"state", workflow::flow_state_name(now->state)}});
+            else
+                std::printf("flow %s %s\n", flow.id.c_str(), workflow::flow_state_name(now->state));
             return status_of(now->state);
         }
         if (workflow::DriverLock::take(journal.dir())) return -1;  // its driver is gone: go on in its place
@@ -134,7 +137,8 @@
     for (auto& w : rules->graph().warnings) std::fprintf(stderr, "barrowctl: %s\n", w.c_str());
     if (call.dry_run) {
         workflow::Journal journal(call.dir);
-        SiteAccess nowhere{{"127.0.0.1:1"}, std::filesystem::temp_directory_path() / "barrowrun-nowhere", "none"};
+        SiteAccess nowhere{
+            {"127.0.0.1:1"}, std::filesystem::temp_directory_path() / "barrowrun-nowhere", "none"};
         return drive(options, call, *rules, journal, {}, nowhere);
     }
     auto site = find_site(options, true);
@@ -145,12 +149,13 @@
         auto lock = workflow::DriverLock::take(call.dir);
         auto open = journal.unfinished();
         if (open && open->key != key)
-            throw Usage(lock ? fmt::format("flow {} of this directory was begun with other words and is unfinished: "
-                                           "`barrowctl flow resume {}` or `barrowctl flow cancel {}` first",
-                                           open->id, open->id, open->id)
-                             : fmt::format("flow {} is at work in this directory: wait for it, or `barrowctl flow "
-                                           "cancel {}`",
-                                           open->id, open->id));
+            throw Usage(
+                lock ? fmt::format("flow {} of this directory was begun with other words and is unfinished: "
+                                   "`barrowctl flow resume {}` or `barrowctl flow cancel {}` first",
+                                   open->id, open->id, open->id)
+                     : fmt::format("flow {} is at work in this directory: wait for it, or `barrowctl flow "
+                                   "cancel {}`",
+                                   open->id, open->id));
         if (lock) {
             if (open && !options.json) std::printf("flow %s goes on from where it was\n", open->id.c_str());
             auto record = journal.open(key, call.kind, args, workflow::now_ms());
@@ -168,7 +173,13 @@
     workflow::Journal journal(whole_dir(dir));
     for (auto& f : journal.flows()) {
         if (options.json)
-            print({{"flow", f.id}, {"kind", f.kind}, {"state", workflow::flow_state_name(f.state)}, {"total", f.total}, {"done", f.done}, {"failed", f.failed}, {"args", json::parse(f.args)}});
+            print({{"flow", f.id},
+                   {"kind", f.kind},
+                   {"state", workflow::flow_state_name(f.state)},
+                   {"total", f.total},
+                   {"done", f.done},
+                   {"failed", f.failed},
+                   {"args", json::parse(f.args)}});
         else
             std::printf("%s  %-5s  %-9s  %lld of %lld, %lld failed\n", f.id.c_str(), f.kind.c_str(),
                         workflow::flow_state_name(f.state), static_cast<long long>(f.done),
@@ -180,7 +191,9 @@
 namespace {
 workflow::FlowRecord find_flow(workflow::Journal& journal, const std::string& id) {
     auto f = journal.find(id);
-    if (!f) throw Usage("'" + id + "': no flow of this directory, or more than one; `barrowctl flow list` shows them");
+    if (!f)
+        throw Usage("'" + id +
+                    "': no flow of this directory, or more than one; `barrowctl flow list` shows them");
     return *f;
 }
 }  // namespace
@@ -188,15 +201,20 @@
 int flow_show(const Options& options, const std::string& dir, const std::string& id) {
     workflow::Journal journal(whole_dir(dir));
     auto f = find_flow(journal, id);
-    if (!options.json) std::printf("flow %s (%s) %s\n", f.id.c_str(), f.kind.c_str(), workflow::flow_state_name(f.state));
+    if (!options.json)
+        std::printf("flow %s (%s) %s\n", f.id.c_str(), f.kind.c_str(), workflow::flow_state_name(f.state));
     for (auto& n : journal.nodes(f.id)) {
         const char* state = n.state == workflow::NodeState::done     ? "done"
                             : n.state == workflow::NodeState::failed ? "failed"
                                                                      : "started";
         if (options.json)
-            print({{"target", depot::to_text(n.node)}, {"job", n.job}, {"state", state}, {"why", depot::to_text(n.note)}});
+            print({{"target", depot::to_text(n.node)},
+                   {"job", n.job},
+                   {"state", state},
+                   {"why", depot::to_text(n.note)}});
         else
-            std::printf("%-8s %s  %s%s%s\n", state, n.job.c_str(), n.node.c_str(), n.note.empty() ? "" : ": ", n.note.c_str());
+            std::printf("%-8s %s  %s%s%s\n", state, n.job.c_str(), n.node.c_str(), n.note.empty() ? "" : ": ",
+                        n.note.c_str());
     }
     return f.state == FlowState::failed || f.state == FlowState::cancelled ? failed : good;
 }
@@ -238,7 +256,8 @@
                 std::fprintf(stderr, "barrowctl: %s can't be cancelled: %s\n", n.job.c_str(), o.why.c_str());
                 co_return failed;
             }
-            workflow::NodeRecord record{n.node, n.job, ours ? workflow::NodeState::failed : workflow::NodeState::done,
+            workflow::NodeRecord record{n.node, n.job,
+                                        ours ? workflow::NodeState::failed : workflow::NodeState::done,
                                         ours ? "cancelled" : ""};
             journal.finished(f.id, record);
             depot::sweep_stages(whole, {n.job, 0});
--- a/src/ctl/jobs.cpp
+++ b/src/ctl/jobs.cpp
@@ -9,8 +9,8 @@
 
 namespace barrowrun::ctl {
 using client::Answer;
-using nlohmann::json;
 using net::Task;
+using nlohmann::json;
 
 namespace {
 
@@ -59,7 +59,10 @@
 
 void show(const Options& options, const wire::JobStatus& s) {
     if (options.json) {
-        json line{{"job", s.id}, {"state", wire::standing_name(s.standing)}, {"done", s.done}, {"running", s.running}};
+        json line{{"job", s.id},
+                  {"state", wire::standing_name(s.standing)},
+                  {"done", s.done},
+                  {"running", s.running}};
         if (s.errors) line["errors"] = s.errors->errors;
         print(line);
         return;
--- a/src/ctl/main.cpp
+++ b/src/ctl/main.cpp
@@ -15,13 +15,15 @@
     cli.add_option("--site", o.nodes, "the site's nodes, 127.0.0.1:8080,... (BARROWRUN_SITE)");
     cli.add_option("--depot", o.depot, "directory shared with the workers (BARROWRUN_DEPOT)");
     cli.add_option("--team", o.team, "the team that pays for it (BARROWRUN_TEAM)");
-    cli.add_option("--client", o.client_file, "client file (BARROWRUN_CLIENT, see schema/client.schema.json)");
+    cli.add_option("--client", o.client_file,
+                   "client file (BARROWRUN_CLIENT, see schema/client.schema.json)");
     cli.add_flag("--json", o.json, "answers for machines: one JSON document per line");
     cli.fallthrough();
 
     std::string file, id, dir = ".";
     bool wait = false, output = false;
-    auto* submit = cli.add_subcommand("submit", "submit a job described by a file (see schema/job.schema.json)");
+    auto* submit =
+        cli.add_subcommand("submit", "submit a job described by a file (see schema/job.schema.json)");
     submit->add_option("file", file)->required();
     submit->add_flag("--wait", wait, "until it is over; status 1 if it failed");
     auto* status = cli.add_subcommand("status", "how a job stands; status 1 if it failed or was cancelled");
@@ -46,7 +48,8 @@
         sub->add_flag("-n,--dry-run", call.dry_run, "say what would run");
         sub->add_flag("-B,--always-make", call.always, "take nothing for up to date");
         sub->add_flag("-q,--quiet", call.quiet, "no line per target");
-        sub->add_flag("--changed-recipes", call.changed_recipes, "make again what was made by other commands");
+        sub->add_flag("--changed-recipes", call.changed_recipes,
+                      "make again what was made by other commands");
         sub->add_option("-j,--jobs", call.most_at_once, "at most so many at once (default: no bound)");
     }
     auto* flow = cli.add_subcommand("flow", "flows that were begun in a directory");
--- a/src/ctl/progress.cpp
+++ b/src/ctl/progress.cpp
@@ -28,7 +28,8 @@
         at = end + 1;
     }
     std::string out;
-    for (auto i = lines.size() > most ? lines.size() - most : 0; i < lines.size(); ++i) out += "    " + lines[i] + "\n";
+    for (auto i = lines.size() > most ? lines.size() - most : 0; i < lines.size(); ++i)
+        out += "    " + lines[i] + "\n";
     return out;
 }
 
@@ -44,8 +45,10 @@
 }
 
 void Progress::note(const std::string& text) {
-    if (json_) print({{"note", depot::to_text(text)}});
-    else line(text);
+    if (json_)
+        print({{"note", depot::to_text(text)}});
+    else
+        line(text);
 }
 
 void Progress::report(const workflow::NodeReport& r) {
@@ -54,10 +57,12 @@
     if (json_) {
         nlohmann::json j{{"target", depot::to_text(r.node->name)}, {"state", workflow::state_name(r.state)}};
         if (!r.job.empty()) j["job"] = r.job;
-        if (r.result) j["machine"] = r.result->machine, j["exit"] = r.result->status, j["ran_s"] = r.result->ran_s;
+        if (r.result)
+            j["machine"] = r.result->machine, j["exit"] = r.result->status, j["ran_s"] = r.result->ran_s;
         if (r.state == State::failed) {
             j["why"] = depot::to_text(r.why);
-            if (r.result) j["command"] = depot::to_text(r.result->step), j["output"] = depot::to_text(r.result->tail);
+            if (r.result)
+                j["command"] = depot::to_text(r.result->step), j["output"] = depot::to_text(r.result->tail);
             j["rule"] = r.node->place.str();
         }
         print(j);
@@ -73,7 +78,8 @@
 
 void Progress::failure(const workflow::NodeReport& r) {
     std::string out = fmt::format("failed   {}  ({})\n", r.node->name, r.why);
-    out += fmt::format("  rule     {}{}\n", r.node->place.str(), r.node->rule.empty() ? "" : ", " + r.node->rule);
+    out += fmt::format("  rule     {}{}\n", r.node->place.str(),
+                       r.node->rule.empty() ? "" : ", " + r.node->rule);
     if (r.result) {
         if (!r.result->step.empty()) out += fmt::format("  command  {}\n", r.result->step);
         out += fmt::format("  status   {}\n  machine  {}\n", r.result->status, r.result->machine);
@@ -84,8 +90,10 @@
 }
 
 void Progress::dry_run(const workflow::NodeReport& r) {
-    if (json_) print({{"target", depot::to_text(r.node->name)}, {"would_run", depot::to_text(r.why)}});
-    else std::fputs(r.why.c_str(), stdout);
+    if (json_)
+        print({{"target", depot::to_text(r.node->name)}, {"would_run", depot::to_text(r.why)}});
+    else
+        std::fputs(r.why.c_str(), stdout);
 }
 
 void Progress::counts(const workflow::Counts& c) {
@@ -102,7 +110,8 @@
     auto full = c.total ? width * over / c.total : width;
     auto text = fmt::format("[{}{}] {}/{}  {} running, {} waiting{}  {:.0f} s", std::string(full, '#'),
                             std::string(width - full, '.'), over, c.total, c.running, c.waiting,
-                            c.failed ? fmt::format(", {} failed", c.failed) : "", Seconds(Clock::now() - began_).count());
+                            c.failed ? fmt::format(", {} failed", c.failed) : "",
+                            Seconds(Clock::now() - began_).count());
     text.resize(std::min(text.size(), columns() - 1));
     std::fputs(("\r\x1b[K" + text).c_str(), stdout);
     std::fflush(stdout);
--- a/src/ctl/site.cpp
+++ b/src/ctl/site.cpp
@@ -42,14 +42,18 @@
         if (s.team.empty()) s.team = j.value("team", "");
     }
     if (nodes.empty())
-        throw Usage("no site is named: set BARROWRUN_SITE to its nodes (127.0.0.1:8080,...), or give --site or --client");
+        throw Usage(
+            "no site is named: set BARROWRUN_SITE to its nodes (127.0.0.1:8080,...), or give --site or "
+            "--client");
     try {
         s.nodes = client::parse_nodes(nodes);
     } catch (const std::runtime_error& e) {
         throw Usage("BARROWRUN_SITE: " + std::string(e.what()));
     }
     if (needs_depot && s.depot.empty())
-        throw Usage("no depot is named: set BARROWRUN_DEPOT to the directory shared with the workers, or give --depot");
+        throw Usage(
+            "no depot is named: set BARROWRUN_DEPOT to the directory shared with the workers, or give "
+            "--depot");
     if (needs_depot && s.team.empty()) throw Usage("no team is named: set BARROWRUN_TEAM, or give --team");
     return s;
 }
--- a/src/ctl/watch.cpp
+++ b/src/ctl/watch.cpp
@@ -39,8 +39,9 @@
         };
         row("flows in " + whole.string() + "   (q: quit, arrows: scroll)", A_BOLD);
         for (auto f = flows.rbegin(); f != flows.rend() && f - flows.rbegin() < 5; ++f)
-            row(f->id + "  " + f->kind + "  " + workflow::flow_state_name(f->state) + "  " + std::to_string(f->done) +
-                    "/" + std::to_string(f->total) + (f->failed ? ", " + std::to_string(f->failed) + " failed" : ""),
+            row(f->id + "  " + f->kind + "  " + workflow::flow_state_name(f->state) + "  " +
+                    std::to_string(f->done) + "/" + std::to_string(f->total) +
+                    (f->failed ? ", " + std::to_string(f->failed) + " failed" : ""),
                 f->state == workflow::FlowState::open ? A_STANDOUT : A_NORMAL);
         ++y;
         if (!flows.empty()) {
@@ -48,17 +49,24 @@
             // What runs stands first, then what failed.
             std::stable_sort(nodes.begin(), nodes.end(), [](auto& a, auto& b) {
                 auto rank = [](auto& n) {
-                    return n.state == workflow::NodeState::started ? 0 : n.state == workflow::NodeState::failed ? 1 : 2;
+                    return n.state == workflow::NodeState::started  ? 0
+                           : n.state == workflow::NodeState::failed ? 1
+                                                                    : 2;
                 };
                 return rank(a) < rank(b);
             });
             from = std::clamp(from, 0, std::max(0, static_cast<int>(nodes.size()) - 1));
             for (std::size_t i = static_cast<std::size_t>(from); i < nodes.size() && y < rows; ++i) {
                 auto& n = nodes[i];
-                bool runs = n.state == workflow::NodeState::started, bad = n.state == workflow::NodeState::failed;
-                row((runs ? "running  " : bad ? "failed   " : "done     ") + n.job + "  " + n.node +
-                        (n.note.empty() ? "" : ": " + n.note),
-                    runs ? A_BOLD : bad ? A_REVERSE : A_NORMAL);
+                bool runs = n.state == workflow::NodeState::started,
+                     bad = n.state == workflow::NodeState::failed;
+                row((runs  ? "running  "
+                     : bad ? "failed   "
+                           : "done     ") +
+                        n.job + "  " + n.node + (n.note.empty() ? "" : ": " + n.note),
+                    runs  ? A_BOLD
+                    : bad ? A_REVERSE
+                          : A_NORMAL);
             }
         }
         ::refresh();
--- a/src/depot/depot.cpp
+++ b/src/depot/depot.cpp
@@ -47,7 +47,8 @@
 
 Json to_json(const Description& d) {
     Json steps = Json::array();
-    for (auto& s : d.steps) steps.push_back({{"run", to_text(s.run)}, {"echo", s.echo}, {"ignore", s.ignore}});
+    for (auto& s : d.steps)
+        steps.push_back({{"run", to_text(s.run)}, {"echo", s.echo}, {"ignore", s.ignore}});
     Json env = Json::object();
     for (auto& [k, v] : d.env) env[to_text(k)] = to_text(v);
     return Json{{"job", wire::submission_json(d.spec)},
@@ -95,21 +96,16 @@
 }
 
 Json to_json(const Result& r) {
-    return Json{{"status", r.status},         {"machine", r.machine},
-                {"cause", r.cause},           {"step", to_text(r.step)},
-                {"tail", to_text(r.tail)},    {"output_bytes", r.output_bytes},
-                {"ran_s", r.ran_s},           {"attempt", r.attempt}};
+    return Json{{"status", r.status},      {"machine", r.machine},    {"cause", r.cause},
+                {"step", to_text(r.step)}, {"tail", to_text(r.tail)}, {"output_bytes", r.output_bytes},
+                {"ran_s", r.ran_s},        {"attempt", r.attempt}};
 }
 
 Result parse_result(const Json& v) {
-    return Result{v.value("status", 0),
-                  v.value("machine", ""),
-                  v.value("cause", ""),
-                  from_text(v.value("step", "")),
-                  from_text(v.value("tail", "")),
-                  v.value("output_bytes", std::uint64_t{0}),
-                  v.value("ran_s", 0.0),
-                  v.value("attempt", std::uint64_t{0})};
+    return Result{v.value("status", 0),           v.value("machine", ""),
+                  v.value("cause", ""),           from_text(v.value("step", "")),
+                  from_text(v.value("tail", "")), v.value("output_bytes", std::uint64_t{0}),
+                  v.value("ran_s", 0.0),          v.value("attempt", std::uint64_t{0})};
 }
 
 Depot::Depot(fs::path root) : root_(std::move(root)) {
@@ -175,12 +171,9 @@
                            {"path", to_text(o.path)},
                            {"xxh128", o.hash},
                            {"mtime_ns", o.mtime_ns}});
-    Json value{{"published", f.published},
-               {"why", to_text(f.why)},
-               {"attempt", f.attempt},
-               {"machine", f.machine},
-               {"outputs", std::move(outputs)},
-               {"removed", text_list(f.removed)}};
+    Json value{{"published", f.published},      {"why", to_text(f.why)},
+               {"attempt", f.attempt},          {"machine", f.machine},
+               {"outputs", std::move(outputs)}, {"removed", text_list(f.removed)}};
     return create_once(final_path(task, ".json"), value.dump());
 }
 
@@ -188,8 +181,12 @@
     auto text = read_all(final_path(task, ".json"));
     if (!text) return std::nullopt;
     auto v = Json::parse(*text);
-    Final f{v.at("published").get<bool>(), from_text(v.value("why", "")), v.value("attempt", std::uint64_t{0}),
-            v.value("machine", ""), {}, byte_list(v, "removed")};
+    Final f{v.at("published").get<bool>(),
+            from_text(v.value("why", "")),
+            v.value("attempt", std::uint64_t{0}),
+            v.value("machine", ""),
+            {},
+            byte_list(v, "removed")};
     for (auto& o : v.at("outputs"))
         f.outputs.push_back({bytes(o.at("staged")), bytes(o.at("path")), o.value("xxh128", ""),
                              o.value("mtime_ns", std::int64_t{0})});
@@ -217,7 +214,8 @@
             parents.insert(path.parent_path());
             continue;
         }
-        if (fs::is_directory(fs::symlink_status(path, ec)) || fs::is_directory(fs::symlink_status(staged, ec))) {
+        if (fs::is_directory(fs::symlink_status(path, ec)) ||
+            fs::is_directory(fs::symlink_status(staged, ec))) {
             // A directory can't be replaced by a rename: the old one steps aside first.
             fs::path aside = staged.string() + ".replaced";
             if (fs::exists(fs::symlink_status(path, ec))) {
--- a/src/depot/depot.hpp
+++ b/src/depot/depot.hpp
@@ -41,9 +41,9 @@
     // Steps run in a directory of the attempt that shows `dir` by links; only a success is moved into place.
     // Otherwise they run in `dir` itself.
     bool in_private = false;
-    bool must_produce = false;        // an output that is missing afterwards is a failure
-    bool delete_on_error = true;      // of steps that run in `dir` itself: changed outputs are removed
-    bool fresh_outputs = false;       // outputs are removed before the steps run
+    bool must_produce = false;             // an output that is missing afterwards is a failure
+    bool delete_on_error = true;           // of steps that run in `dir` itself: changed outputs are removed
+    bool fresh_outputs = false;            // outputs are removed before the steps run
     std::vector<std::string> directories;  // outputs that are directories
     std::vector<std::string> touch;        // outputs to be made by touching them
     std::vector<std::string> protect;      // outputs that lose their write bits
@@ -99,7 +99,8 @@
     void keep_result(const wire::Attempt& a, const Result& r) const;
     // Of the newest attempt that left one.
     std::optional<Result> last_result(const wire::TaskId& task) const;
-    std::optional<std::string> output(const wire::TaskId& task, std::uint64_t attempt, std::size_t most) const;
+    std::optional<std::string> output(const wire::TaskId& task, std::uint64_t attempt,
+                                      std::size_t most) const;
 
     // The one decision about a task. False: another was there before.
     bool decide(const wire::TaskId& task, const Final& final) const;
--- a/src/depot/files.cpp
+++ b/src/depot/files.cpp
@@ -26,8 +26,8 @@
 
 fs::path beside(const fs::path& path) {
     static std::atomic<unsigned> counter{0};
-    return path.parent_path() /
-           ("." + path.filename().string() + "." + std::to_string(::getpid()) + "." + std::to_string(++counter));
+    return path.parent_path() / ("." + path.filename().string() + "." + std::to_string(::getpid()) + "." +
+                                 std::to_string(++counter));
 }
 
 void write_synced(const fs::path& path, const std::string& content) {
@@ -139,9 +139,14 @@
     std::string out;
     for (std::size_t i = 0; i < bytes.size();) {
         auto c = static_cast<unsigned char>(bytes[i]);
-        std::size_t n = c < 0x80 ? 1 : (c >> 5) == 6 && c >= 0xc2 ? 2 : (c >> 4) == 14 ? 3 : (c >> 3) == 30 && c < 0xf5 ? 4 : 0;
+        std::size_t n = c < 0x80                     ? 1
+                        : (c >> 5) == 6 && c >= 0xc2 ? 2
+                        : (c >> 4) == 14             ? 3
+                        : (c >> 3) == 30 && c < 0xf5 ? 4
+                                                     : 0;
         bool good = n > 0 && c != 0x1b && i + n <= bytes.size();
-        for (std::size_t k = 1; good && k < n; ++k) good = (static_cast<unsigned char>(bytes[i + k]) >> 6) == 2;
+        for (std::size_t k = 1; good && k < n; ++k)
+            good = (static_cast<unsigned char>(bytes[i + k]) >> 6) == 2;
         if (good && n == 3) {
             auto d = static_cast<unsigned char>(bytes[i + 1]);
             good = !(c == 0xe0 && d < 0xa0) && !(c == 0xed && d >= 0xa0);
--- a/src/lab/cloud_model.cpp
+++ b/src/lab/cloud_model.cpp
@@ -8,8 +8,10 @@
 
 bool CloudModel::within_rate(TimePoint now) {
     const double most = 2 * limits_.rps;  // bursts worth two seconds
-    if (level_ < 0) level_ = most;
-    else level_ = std::min(most, level_ + Seconds(now - level_at_).count() * limits_.rps);
+    if (level_ < 0)
+        level_ = most;
+    else
+        level_ = std::min(most, level_ + Seconds(now - level_at_).count() * limits_.rps);
     level_at_ = now;
     if (level_ < 1) return false;
     level_ -= 1;
@@ -108,8 +110,10 @@
             break;
         }
         wire::ListedMachine l{m.name, m.up && *m.up <= at ? m.address : "", m.type, m.zone, m.spot};
-        if (m.died && *m.died + secs(limits_.failed_after_s) <= at) l.state = wire::ListedMachine::State::failed;
-        else if (m.up && *m.up <= at) l.state = wire::ListedMachine::State::running;
+        if (m.died && *m.died + secs(limits_.failed_after_s) <= at)
+            l.state = wire::ListedMachine::State::failed;
+        else if (m.up && *m.up <= at)
+            l.state = wire::ListedMachine::State::running;
         l.age_s = Seconds(at - m.rented).count();
         out.machines.push_back(std::move(l));
     }
--- a/src/lab/cloud_model.hpp
+++ b/src/lab/cloud_model.hpp
@@ -1,6 +1,6 @@
 #pragma once
-// Stand-in for the cloud: rentals under names that are never reused, boots, a list that is late, returns. Plain
-// decisions; starting and ending the machines' processes is the service's.
+// Stand-in for the cloud: rentals under names that are never reused, boots, a list that is late, returns.
+// Plain decisions; starting and ending the machines' processes is the service's.
 #include <map>
 #include <random>
 #include <set>
@@ -14,7 +14,7 @@
 
 struct CloudLimits {
     double rps = 20, list_lag_s = 1;
-    std::size_t machines = 8;  // in all
+    std::size_t machines = 8;   // in all
     double failed_after_s = 1;  // until a machine that died is listed as failed
 };
 
--- a/src/lab/cloud_service.cpp
+++ b/src/lab/cloud_service.cpp
@@ -9,8 +9,8 @@
 
 namespace barrowrun::lab {
 using namespace std::chrono_literals;
-using net::http::verb;
 using net::Response;
+using net::http::verb;
 using wire::Json;
 
 CloudService::CloudService(net::asio::io_context& io, CloudModel model, CloudSettings settings)
@@ -65,7 +65,8 @@
     settings["zone"] = m->zone;
     settings["spot"] = m->spot;
     for (auto& t : model_.types())
-        if (t.name == m->type) settings["cpus"] = t.cpus, settings["gpus"] = t.gpus, settings["mem_gb"] = t.mem_gb;
+        if (t.name == m->type)
+            settings["cpus"] = t.cpus, settings["gpus"] = t.gpus, settings["mem_gb"] = t.mem_gb;
     settings["state_dir"] = dir;
     auto address = free_address();
     settings["listen"] = address;
@@ -105,6 +106,14 @@
     it->second.child->signal(SIGCONT);
 }
 
+Task<> CloudService::take_later(std::string name, Clock::duration after) {
+    co_await net::sleep_for(after);
+    end_machine(name);
+    // Taken machines are not listed any more.
+    model_.returned({name}, Clock::now());
+    keep();
+}
+
 Response CloudService::fault(const Json& body) {
     auto kind = wire::text(body, "kind").value_or("");
     auto what = wire::text(body, "what").value_or("");
@@ -130,8 +139,12 @@
         it->second.child->signal(SIGSTOP);
         for (auto pid : proc::marked(machine_dir(name))) ::kill(pid, SIGSTOP);
         net::asio::co_spawn(io_, resume_later(name, secs(length)), net::asio::detached);
+    } else if (kind == "recall") {
+        // As a spot machine: a notice, and at its end the machine is gone.
+        depot::write_whole(machine_dir(name) + "/recall", std::to_string(length));
+        net::asio::co_spawn(io_, take_later(name, secs(length)), net::asio::detached);
     } else {
-        return {400, {{"error", "machines can be killed or hung"}}};
+        return {400, {{"error", "machines can be killed, hung or recalled"}}};
     }
     return {200, {{"what", name}}};
 }
@@ -149,8 +162,8 @@
     const bool get = request.method == verb::get, post = request.method == verb::post;
     if (get && target.path == "/flavors") co_return Response{200, wire::types_json(model_.types())};
     if (get && target.path == "/rentals")
-        co_return Response{200, wire::machine_list_json(
-                                    model_.list(target.text("since"), target.number("page").value_or(500), now))};
+        co_return Response{200, wire::machine_list_json(model_.list(
+                                    target.text("since"), target.number("page").value_or(500), now))};
     if (post && target.path == "/rentals") {
         auto r = wire::parse_rent(body);
         if (!r || !model_.known(*r)) co_return Response{400, {{"error", "malformed"}}};
--- a/src/lab/cloud_service.hpp
+++ b/src/lab/cloud_service.hpp
@@ -7,8 +7,8 @@
 namespace barrowrun::lab {
 
 struct CloudSettings {
-    std::string dir;            // machines' directories
-    std::string worker;         // the program
+    std::string dir;             // machines' directories
+    std::string worker;          // the program
     wire::Json worker_settings;  // what all workers have in common
     std::size_t warm = 0;
 };
@@ -29,6 +29,7 @@
     net::Response fault(const wire::Json& body);
     Task<> boot_loop();
     Task<> run_machine(std::string name);
+    Task<> take_later(std::string name, Clock::duration after);
     Task<> resume_later(std::string name, Clock::duration after);
     void end_machine(const std::string& name);
     std::string machine_dir(const std::string& name) const { return settings_.dir + "/" + name; }
--- a/src/lab/main.cpp
+++ b/src/lab/main.cpp
@@ -42,8 +42,10 @@
         m.zones = t.value("zones", std::vector<std::string>{"lab"});
         types.push_back(std::move(m));
     }
-    lab::CloudLimits limits{j.value("rps", 20.0), j.value("list_lag_s", 1.0), j.value("machines", std::size_t{4})};
-    lab::CloudSettings settings{dir, j.at("worker"), j.at("worker_settings"), j.value("warm", std::size_t{0})};
+    lab::CloudLimits limits{j.value("rps", 20.0), j.value("list_lag_s", 1.0),
+                            j.value("machines", std::size_t{4})};
+    lab::CloudSettings settings{dir, j.at("worker"), j.at("worker_settings"),
+                                j.value("warm", std::size_t{0})};
     asio::io_context io{1};
     lab::CloudService service(io, lab::CloudModel(types, limits, std::random_device{}()), settings);
     service.listen(listen);
@@ -58,7 +60,8 @@
     return 0;
 }
 
-std::shared_ptr<lab::Child> start_command(asio::io_context& io, lab::Site& site, const std::vector<std::string>& argv) {
+std::shared_ptr<lab::Child> start_command(asio::io_context& io, lab::Site& site,
+                                          const std::vector<std::string>& argv) {
     return std::make_shared<lab::Child>(io, lab::Child::What{argv, "", site.environment(), false});
 }
 
@@ -66,7 +69,8 @@
                           std::shared_ptr<lab::Child>& child, bool& asked_to_end) {
     const bool up = co_await site.ready(30s);
     if (!up) {
-        std::fprintf(stderr, "barrowrun-lab: the site did not come up within 30 s; see the logs in its directory\n");
+        std::fprintf(stderr,
+                     "barrowrun-lab: the site did not come up within 30 s; see the logs in its directory\n");
         co_return 1;
     }
     if (asked_to_end) co_return 130;
@@ -141,7 +145,8 @@
         } else if (reply.status == 0) {
             std::fprintf(stderr, "barrowrun-lab: no site answers at %s\n", control.c_str());
         } else {
-            std::fprintf(stderr, "barrowrun-lab: %s\n", wire::text(reply.body, "error").value_or("refused").c_str());
+            std::fprintf(stderr, "barrowrun-lab: %s\n",
+                         wire::text(reply.body, "error").value_or("refused").c_str());
             status = reply.status == 400 || reply.status == 404 ? 2 : 1;
         }
     };
@@ -169,10 +174,13 @@
         sub->add_option("--cpus", site.cpus, "CPUs of each")->check(CLI::Range(0.1, 1024.0));
         sub->add_option("--gpus", site.gpus, "cards of each")->check(CLI::Range(0.0, 64.0));
         sub->add_option("--mem-gb", site.mem_gb, "memory of each")->check(CLI::Range(0.1, 65536.0));
-        sub->add_option("--report-s", site.report_s, "workers' report interval")->check(CLI::Range(0.1, 60.0));
+        sub->add_option("--report-s", site.report_s, "workers' report interval")
+            ->check(CLI::Range(0.1, 60.0));
         sub->add_option("--lease-s", site.lease_s, "workers' lease")->check(CLI::Range(2.0, 600.0));
-        sub->add_option("--dir", dir, "where the site keeps its files (default: a directory that is removed)");
-        sub->add_flag("--relays", site.relays, "lead all ways through relays, so that they can be cut and slowed");
+        sub->add_option("--dir", dir,
+                        "where the site keeps its files (default: a directory that is removed)");
+        sub->add_flag("--relays", site.relays,
+                      "lead all ways through relays, so that they can be cut and slowed");
     }
     run->add_option("command", command, "the command, after --")->required();
     run->positionals_at_end();
@@ -192,11 +200,12 @@
     std::string kind, what, control;
     double for_s = 10;
     auto* fault = cli.add_subcommand("fault", "bring a fault about in a running site");
-    fault->add_option("kind", kind, "kill, cut, hang, slow or refuse")
+    fault->add_option("kind", kind, "kill, cut, hang, slow, refuse or recall")
         ->required()
-        ->check(CLI::IsMember({"kill", "cut", "hang", "slow", "refuse"}));
-    fault->add_option("what", what,
-                      "leader, barrow-N, state, state:barrow-N, cloud, machine[:NAME], worker[:NAME] or any")
+        ->check(CLI::IsMember({"kill", "cut", "hang", "slow", "refuse", "recall"}));
+    fault
+        ->add_option("what", what,
+                     "leader, barrow-N, state, state:barrow-N, cloud, machine[:NAME], worker[:NAME] or any")
         ->required();
     fault->add_option("--for", for_s, "seconds")->check(CLI::Range(0.0, 3600.0));
     fault->add_option("--dir", dir, "the site's directory, if BARROWRUN_LAB is not set");
@@ -206,7 +215,8 @@
         if (*state) return run_state(listen, file, limits);
         if (*cloud) return run_cloud(listen, dir, config);
         if (*fault) {
-            if (const char* at = std::getenv("BARROWRUN_LAB"); at && dir.empty()) control = at;
+            if (const char* at = std::getenv("BARROWRUN_LAB"); at && dir.empty())
+                control = at;
             else if (auto text = depot::read_all((dir.empty() ? "." : dir) + std::string("/site.json")))
                 control = wire::Json::parse(*text).at("control");
             else {
--- a/src/lab/relay.cpp
+++ b/src/lab/relay.cpp
@@ -21,7 +21,8 @@
 Task<> Relay::accept_loop() {
     for (;;) {
         boost::system::error_code ec;
-        auto socket = co_await acceptor_.async_accept(net::asio::redirect_error(net::asio::use_awaitable, ec));
+        auto socket =
+            co_await acceptor_.async_accept(net::asio::redirect_error(net::asio::use_awaitable, ec));
         if (ec) {
             co_await net::sleep_for(20ms);
             continue;
--- a/src/lab/service.cpp
+++ b/src/lab/service.cpp
@@ -36,10 +36,14 @@
     auto decoded = wire::decode(body);
     auto kind = decoded ? wire::text(*decoded, "kind").value_or("") : "";
     auto length = decoded ? wire::amount(*decoded, "for_s").value_or(10) : 10;
-    if (kind == "refuse") kind_ = Kind::refuse;
-    else if (kind == "cut") kind_ = Kind::cut;
-    else if (kind == "slow") kind_ = Kind::slow;
-    else return {400, {{"error", "kind: expected refuse, cut or slow"}}};
+    if (kind == "refuse")
+        kind_ = Kind::refuse;
+    else if (kind == "cut")
+        kind_ = Kind::cut;
+    else if (kind == "slow")
+        kind_ = Kind::slow;
+    else
+        return {400, {{"error", "kind: expected refuse, cut or slow"}}};
     until_ = now + secs(length);
     return {};
 }
--- a/src/lab/site.cpp
+++ b/src/lab/site.cpp
@@ -9,14 +9,15 @@
 
 namespace barrowrun::lab {
 using namespace std::chrono_literals;
-using net::http::verb;
 using net::Response;
+using net::http::verb;
 using wire::Json;
 
 Site::Site(net::asio::io_context& io, SiteSettings settings)
     : io_(io), settings_(std::move(settings)), control_(io, 100), client_(io) {
     settings_.dir = std::filesystem::absolute(settings_.dir).lexically_normal().string();
-    for (auto* d : {"logs", "machines", "depot"}) std::filesystem::create_directories(settings_.dir + "/" + d);
+    for (auto* d : {"logs", "machines", "depot"})
+        std::filesystem::create_directories(settings_.dir + "/" + d);
 }
 
 std::string Site::way(const std::string& name, const std::string& to) {
@@ -43,29 +44,33 @@
     for (int k = 0; k < settings_.controllers; ++k) {
         if (k == i) continue;
         auto other = "barrow-" + std::to_string(k);
-        members.push_back({{"node_name", other}, {"area", "lab"}, {"addr", way(other, internal_[static_cast<std::size_t>(k)])}});
+        members.push_back({{"node_name", other},
+                           {"area", "lab"},
+                           {"addr", way(other, internal_[static_cast<std::size_t>(k)])}});
     }
-    Json s{{"node_name", name},
-           {"area", "lab"},
-           {"serve_on", public_[static_cast<std::size_t>(i)]},
-           {"internal_addr", internal_[static_cast<std::size_t>(i)]},
-           {"members", members},
-           {"external", {{"cloud", way("cloud", cloud_)}, {"state", way("state:" + name, state_)}}},
-           {"deployment",
-            {{"size", settings_.controllers},
-             {"zones", {"lab"}},
-             {"teams", {{{"name", settings_.team}, {"cpus", 0.0}, {"gpus", 0.0}, {"cpus_max", 0.0}, {"gpus_max", 0.0}}}},
-             {"objectives", Json::array()},
-             {"workers",
-              {{"report_s", settings_.report_s},
-               {"lease_s", settings_.lease_s},
-               {"gang_wait_s", 10.0},
-               {"gang_peer_s", 2.0},
-               {"cancel_s", 2 * settings_.lease_s}}},
-             {"state", {{"rps", 4000.0}, {"write_rps", 2000.0}, {"value_kb", 32.0}, {"txn_ops", 32}}},
-             {"cloud", {{"rps", 20.0}, {"list_lag_s", 1.0}}},
-             {"quota", {{"cores", 1.0}, {"ram_mb", 256.0}, {"max_sockets", 2000}}},
-             {"clock_error_ms", 5.0}}}};
+    Json s{
+        {"node_name", name},
+        {"area", "lab"},
+        {"serve_on", public_[static_cast<std::size_t>(i)]},
+        {"internal_addr", internal_[static_cast<std::size_t>(i)]},
+        {"members", members},
+        {"external", {{"cloud", way("cloud", cloud_)}, {"state", way("state:" + name, state_)}}},
+        {"deployment",
+         {{"size", settings_.controllers},
+          {"zones", {"lab"}},
+          {"teams",
+           {{{"name", settings_.team}, {"cpus", 0.0}, {"gpus", 0.0}, {"cpus_max", 0.0}, {"gpus_max", 0.0}}}},
+          {"objectives", Json::array()},
+          {"workers",
+           {{"report_s", settings_.report_s},
+            {"lease_s", settings_.lease_s},
+            {"gang_wait_s", 10.0},
+            {"gang_peer_s", 2.0},
+            {"cancel_s", 2 * settings_.lease_s}}},
+          {"state", {{"rps", 4000.0}, {"write_rps", 2000.0}, {"value_kb", 32.0}, {"txn_ops", 32}}},
+          {"cloud", {{"rps", 20.0}, {"list_lag_s", 1.0}}},
+          {"quota", {{"cores", 1.0}, {"ram_mb", 256.0}, {"max_sockets", 2000}}},
+          {"clock_error_ms", 5.0}}}};
     depot::write_whole(settings_.dir + "/" + name + ".json", s.dump(2));
 }
 
@@ -78,7 +83,9 @@
         internal_.push_back(free_address());
         nodes_.push_back(way("barrow-" + std::to_string(i), public_.back()));
     }
-    Json operators{{"idle_return_s", 3600}, {"leader_hold_ms", static_cast<int>(settings_.hold_s * 1000)}, {"promise_ms", 1000}};
+    Json operators{{"idle_return_s", 3600},
+                   {"leader_hold_ms", static_cast<int>(settings_.hold_s * 1000)},
+                   {"promise_ms", 1000}};
     depot::write_whole(settings_.dir + "/operator.json", operators.dump(2));
     Json controllers = Json::object();
     for (int i = 0; i < settings_.controllers; ++i)
@@ -105,9 +112,10 @@
     depot::write_whole(settings_.dir + "/cloud.json", cloud.dump(2));
     const auto logs = settings_.dir + "/logs/";
     const auto lab = settings_.programs + "/barrowrun-lab";
-    parts_["state"] = {{{lab, "state", "--listen", state_, "--file", settings_.dir + "/state.db"}, logs + "state", {}, true},
-                       nullptr,
-                       settings_.state_back};
+    parts_["state"] = {
+        {{lab, "state", "--listen", state_, "--file", settings_.dir + "/state.db"}, logs + "state", {}, true},
+        nullptr,
+        settings_.state_back};
     parts_["cloud"] = {{{lab, "cloud", "--listen", cloud_, "--dir", settings_.dir + "/machines", "--config",
                          settings_.dir + "/cloud.json"},
                         logs + "cloud",
@@ -234,12 +242,15 @@
     }
     auto [first, last] = relays_.equal_range(what);
     if (first == last || kind == "refuse") {
-        std::string why = settings_.relays ? "there is no way to " + what : "ways can be cut only with --relays";
+        std::string why =
+            settings_.relays ? "there is no way to " + what : "ways can be cut only with --relays";
         co_return Response{400, {{"error", why}}};
     }
     for (auto r = first; r != last; ++r) {
-        if (kind == "cut") r->second->cut(Clock::now() + length);
-        else r->second->slow(Clock::now() + length);
+        if (kind == "cut")
+            r->second->cut(Clock::now() + length);
+        else
+            r->second->slow(Clock::now() + length);
     }
     co_return Response{200, {{"what", what}}};
 }
--- a/src/lab/site.hpp
+++ b/src/lab/site.hpp
@@ -1,6 +1,6 @@
 #pragma once
-// A whole site on loopback: state service and cloud stand-ins, controllers, and workers as the cloud's machines.
-// Processes that end are started again; faults are brought about on request.
+// A whole site on loopback: state service and cloud stand-ins, controllers, and workers as the cloud's
+// machines. Processes that end are started again; faults are brought about on request.
 #include <random>
 
 #include "lab/child.hpp"
--- a/src/lab/state_service.cpp
+++ b/src/lab/state_service.cpp
@@ -4,8 +4,8 @@
 
 namespace barrowrun::lab {
 using namespace std::chrono_literals;
-using net::http::verb;
 using net::Response;
+using net::http::verb;
 
 namespace {
 Response plain(Answer a) {
@@ -105,7 +105,8 @@
 Task<Response> StateService::follow(Target target) {
     auto since = target.number("since").value_or(0);
     auto prefix = target.text("under");
-    auto until = Clock::now() + std::chrono::milliseconds(std::min<std::uint64_t>(target.number("wait_ms").value_or(0), 60'000));
+    auto until = Clock::now() + std::chrono::milliseconds(
+                                    std::min<std::uint64_t>(target.number("wait_ms").value_or(0), 60'000));
     for (;;) {
         // An open watch stays open and silent during an outage.
         auto kind = faults_.at(Clock::now());
@@ -118,7 +119,8 @@
         boost::system::error_code ec;
         auto timer = std::make_shared<net::asio::steady_timer>(io_);
         auto change = change_;
-        // Many wait on one timer, which every change cancels; the end of this one's time is a timer of its own.
+        // Many wait on one timer, which every change cancels; the end of this one's time is a timer of its
+        // own.
         timer->expires_at(outage ? Clock::now() + 50ms : until);
         timer->async_wait([change, timer](boost::system::error_code e) {
             if (!e) change->cancel();
--- a/src/lab/state_store.cpp
+++ b/src/lab/state_store.cpp
@@ -31,7 +31,8 @@
 StateStore::StateStore(const std::string& path, StateLimits limits, TimePoint now)
     : limits_(limits), db_(path, true) {
     db_.run(
-        "CREATE TABLE IF NOT EXISTS kv(key TEXT PRIMARY KEY, value BLOB NOT NULL, mark INTEGER NOT NULL, permit "
+        "CREATE TABLE IF NOT EXISTS kv(key TEXT PRIMARY KEY, value BLOB NOT NULL, mark INTEGER NOT NULL, "
+        "permit "
         "INTEGER) WITHOUT ROWID;"
         "CREATE INDEX IF NOT EXISTS by_permit ON kv(permit) WHERE permit IS NOT NULL;"
         "CREATE TABLE IF NOT EXISTS holds(id INTEGER PRIMARY KEY AUTOINCREMENT, ttl_ms INTEGER NOT NULL);"
@@ -101,9 +102,11 @@
     if (body_bytes > limits_.body_bytes) return bad("larger than 64 KiB");
     const Json* conditions = wire::find(body, "if");
     const Json* operations = wire::find(body, "then");
-    if ((conditions && !conditions->is_array()) || (operations && !operations->is_array())) return bad("lists");
+    if ((conditions && !conditions->is_array()) || (operations && !operations->is_array()))
+        return bad("lists");
     std::size_t n = operations ? operations->size() : 0;
-    if (n > limits_.txn_ops || (conditions && conditions->size() > 4 * limits_.txn_ops)) return bad("too many");
+    if (n > limits_.txn_ops || (conditions && conditions->size() > 4 * limits_.txn_ops))
+        return bad("too many");
     for (std::size_t i = 0; i < n; ++i) {
         const Json& op = (*operations)[i];
         auto set = wire::text(op, "set"), drop = wire::text(op, "drop");
@@ -135,8 +138,10 @@
     for (const Json& op : *operations) {
         if (auto key = wire::text(op, "set")) {
             set.text(*key).bind(wire::encode(op["value"])).bind(static_cast<std::int64_t>(mark));
-            if (auto permit = wire::count(op, "permit")) set.bind(static_cast<std::int64_t>(*permit));
-            else set.null();
+            if (auto permit = wire::count(op, "permit"))
+                set.bind(static_cast<std::int64_t>(*permit));
+            else
+                set.null();
             set.run();
             changes.push_back({*key, op["value"], mark});
         } else {
@@ -222,8 +227,10 @@
     Json events = Json::array();
     for (auto it = from; it != log_.end(); ++it) {
         if (!it->key.starts_with(prefix)) continue;
-        if (it->value) events.push_back({{"set", it->key}, {"value", *it->value}, {"mark", it->mark}});
-        else events.push_back({{"drop", it->key}, {"mark", it->mark}});
+        if (it->value)
+            events.push_back({{"set", it->key}, {"value", *it->value}, {"mark", it->mark}});
+        else
+            events.push_back({{"drop", it->key}, {"mark", it->mark}});
     }
     if (events.empty()) return std::nullopt;
     return Answer{200, {{"ledger", revision_}, {"events", std::move(events)}}};
--- a/src/lab/state_store.hpp
+++ b/src/lab/state_store.hpp
@@ -1,6 +1,6 @@
 #pragma once
-// Stand-in for the state service: what PROTOCOL says of keys, versions, transactions, holds and watches, kept in
-// SQLite and synced before the answer. Calls take the time and do no network I/O.
+// Stand-in for the state service: what PROTOCOL says of keys, versions, transactions, holds and watches, kept
+// in SQLite and synced before the answer. Calls take the time and do no network I/O.
 #include <deque>
 #include <map>
 #include <optional>
--- a/src/net/reach.hpp
+++ b/src/net/reach.hpp
@@ -1,6 +1,6 @@
 #pragma once
-// Says in the log which other side can't be reached: within a second, then at growing intervals, and once when
-// it is back. Plain decisions on times that are passed in.
+// Says in the log which other side can't be reached: within a second, then at growing intervals, and once
+// when it is back. Plain decisions on times that are passed in.
 #include <algorithm>
 #include <optional>
 #include <string>
--- a/src/proc/spawn.cpp
+++ b/src/proc/spawn.cpp
@@ -49,9 +49,9 @@
     for (auto& p : pairs) envp.push_back(p.data());
     envp.push_back(nullptr);
     const pid_t parent = ::getpid();
-    // vfork: this process goes on only after the exec, so the child never holds descriptors that this one closes
-    // meanwhile. After a plain fork it did for a moment, which kept them in the reactor's set: their late events
-    // were taken for those of other descriptors, and running commands for ended ones.
+    // vfork: this process goes on only after the exec, so the child never holds descriptors that this one
+    // closes meanwhile. After a plain fork it did for a moment, which kept them in the reactor's set: their
+    // late events were taken for those of other descriptors, and running commands for ended ones.
     const pid_t pid = ::vfork();
     if (pid < 0) throw std::system_error(errno, std::generic_category(), "vfork");
     if (pid > 0) {
--- a/src/proc/spawn.hpp
+++ b/src/proc/spawn.hpp
@@ -1,5 +1,6 @@
 #pragma once
-// Starting child processes from a process with threads, and finding them again by a mark in their environment.
+// Starting child processes from a process with threads, and finding them again by a mark in their
+// environment.
 #include <sys/types.h>
 
 #include <cstdint>
@@ -13,7 +14,7 @@
     std::vector<std::string> argv;
     std::string dir;                         // empty: ours
     std::map<std::string, std::string> env;  // besides ours
-    int output = -1;                         // for its standard output and error; -1: it has ours, and our input
+    int output = -1;  // for its standard output and error; -1: it has ours, and our input
     bool own_group = true;
     std::uint64_t memory_bytes = 0;  // bound of the address space; 0: none
 };
--- a/src/store/sqlite.cpp
+++ b/src/store/sqlite.cpp
@@ -14,13 +14,15 @@
 }
 
 Statement& Statement::bind(std::string_view v) {
-    check(sqlite3_bind_blob(s_.get(), next_++, v.data() ? v.data() : "", static_cast<int>(v.size()), SQLITE_TRANSIENT),
+    check(sqlite3_bind_blob(s_.get(), next_++, v.data() ? v.data() : "", static_cast<int>(v.size()),
+                            SQLITE_TRANSIENT),
           sqlite3_db_handle(s_.get()));
     return *this;
 }
 
 Statement& Statement::text(std::string_view v) {
-    check(sqlite3_bind_text(s_.get(), next_++, v.data() ? v.data() : "", static_cast<int>(v.size()), SQLITE_TRANSIENT),
+    check(sqlite3_bind_text(s_.get(), next_++, v.data() ? v.data() : "", static_cast<int>(v.size()),
+                            SQLITE_TRANSIENT),
           sqlite3_db_handle(s_.get()));
     return *this;
 }
@@ -75,7 +77,8 @@
     sqlite3* db = nullptr;
     int code = sqlite3_open(path.c_str(), &db);
     db_.reset(db);
-    if (code != SQLITE_OK) throw StoreError(path + ": " + (db ? sqlite3_errmsg(db) : "cannot be opened"), code);
+    if (code != SQLITE_OK)
+        throw StoreError(path + ": " + (db ? sqlite3_errmsg(db) : "cannot be opened"), code);
     sqlite3_busy_timeout(db, exclusive ? 0 : 5000);
     if (exclusive) run("PRAGMA locking_mode=EXCLUSIVE");
     run("PRAGMA journal_mode=WAL");
--- a/src/store/sqlite.hpp
+++ b/src/store/sqlite.hpp
@@ -43,8 +43,8 @@
 
 class Database {
   public:
-    // `exclusive`: held by this process alone as long as it is open; throws StoreError (SQLITE_BUSY) if another
-    // has it.
+    // `exclusive`: held by this process alone as long as it is open; throws StoreError (SQLITE_BUSY) if
+    // another has it.
     explicit Database(const std::string& path, bool exclusive = false);
     Statement prepare(const char* sql) { return Statement(db_.get(), sql); }
     void run(const char* sql);
--- a/src/worker/agent.cpp
+++ b/src/worker/agent.cpp
@@ -32,7 +32,8 @@
             throw config::ConfigError("[controllers][" + name + "]: expected an IP address and a port");
         s.controllers[name] = address;
     }
-    if (!net::parse_endpoint(s.listen)) throw config::ConfigError("[listen]: expected an IP address and a port");
+    if (!net::parse_endpoint(s.listen))
+        throw config::ConfigError("[listen]: expected an IP address and a port");
     s.depot = j.at("depot");
     s.state_dir = j.at("state_dir");
     s.output_bytes = static_cast<std::uint64_t>(j.value("output_mb", 16.0) * 1024 * 1024);
@@ -61,8 +62,10 @@
                settings_.capacity, settings_.times, session_, Clock::now()),
       wake_(io) {
     keep_session();
-    ExecutorSettings e{settings_.name, settings_.state_dir, settings_.times.gang_peer, settings_.output_bytes};
-    executor_ = std::make_shared<Executor>(io, machine_, depot::Depot(settings_.depot), e, [this] { changed(); });
+    ExecutorSettings e{settings_.name, settings_.state_dir, settings_.times.gang_peer,
+                       settings_.output_bytes};
+    executor_ =
+        std::make_shared<Executor>(io, machine_, depot::Depot(settings_.depot), e, [this] { changed(); });
 }
 
 void Agent::keep_session() {
@@ -85,6 +88,7 @@
                         ended("the server"));
     net::asio::co_spawn(io_, report_loop(), ended("the reports"));
     net::asio::co_spawn(io_, tick_loop(), ended("the ticks"));
+    net::asio::co_spawn(io_, notice_loop(), ended("the notices"));
 }
 
 void Agent::stop() {
@@ -110,6 +114,26 @@
     }
 }
 
+// The cloud's notice: a file `recall` in this worker's directory that holds the seconds left, as whatever
+// reads the cloud's own signal on the machine writes it.
+Task<> Agent::notice_loop() {
+    const auto file = std::filesystem::path(settings_.state_dir) / "recall";
+    std::optional<TimePoint> until;
+    for (;;) {
+        std::error_code ec;
+        if (!until && std::filesystem::exists(file, ec)) {
+            auto text = depot::read_all(file).value_or("0");
+            until = Clock::now() + secs(std::max(0.0, std::strtod(text.c_str(), nullptr)));
+            spdlog::warn("the cloud takes this machine back in {} s", text);
+        } else if (until && !std::filesystem::exists(file, ec)) {
+            until.reset();
+        }
+        machine_.notice(until);
+        if (until) wake_.wake();
+        co_await net::sleep_for(250ms);
+    }
+}
+
 Task<> Agent::report_loop() {
     std::vector<std::pair<std::string, std::string>> nodes(settings_.controllers.begin(),
                                                            settings_.controllers.end());
@@ -134,7 +158,8 @@
         auto reply = co_await client_.call(nodes[at].second, verb::post, "/hello", wire::report_json(report),
                                            answer_within);
         auto after = Clock::now();
-        if (auto line = reach.note(reply.status == 200 || reply.status == 421, after)) spdlog::warn("{}", *line);
+        if (auto line = reach.note(reply.status == 200 || reply.status == 421, after))
+            spdlog::warn("{}", *line);
         if (reply.status == 200) {
             auto commands = wire::parse_commands(reply.body);
             if (commands && !reply.garbage)
--- a/src/worker/agent.hpp
+++ b/src/worker/agent.hpp
@@ -28,6 +28,7 @@
   private:
     Task<> report_loop();
     Task<> tick_loop();
+    Task<> notice_loop();
     Task<net::Response> route(net::Request request);
     void changed();
     void keep_session();
--- a/src/worker/executor.cpp
+++ b/src/worker/executor.cpp
@@ -244,8 +244,10 @@
     if (gang) {
         auto own = depot_.gang_dir(a.task.job, a.number) / std::to_string(a.task.index);
         std::error_code ec;
-        if (done) fs::rename(own, own.string() + ".done", ec);
-        else fs::remove(own, ec);
+        if (done)
+            fs::rename(own, own.string() + ".done", ec);
+        else
+            fs::remove(own, ec);
     }
     running_.erase(a);
     machine_.exited(a, done, saved);
@@ -257,8 +259,10 @@
     const auto& a = r->attempt;
     // The task's final answer may be there already: its machine was lost after it was given.
     if (auto final = depot_.final(a.task)) {
-        if (final->published) co_await aside([&] { depot_.settle(a.task, *final); });
-        else result.cause = "given up: " + final->why, result.status = 125;
+        if (final->published)
+            co_await aside([&] { depot_.settle(a.task, *final); });
+        else
+            result.cause = "given up: " + final->why, result.status = 125;
         co_return final->published;
     }
     auto run_dir = depot_.run_dir(a);
@@ -299,12 +303,15 @@
             result.status = 0;
             continue;
         }
-        result.cause = status < 0 ? "signal " + std::to_string(-status) : "exit status " + std::to_string(status);
+        result.cause =
+            status < 0 ? "signal " + std::to_string(-status) : "exit status " + std::to_string(status);
         good = false;
         break;
     }
-    if (r->killed) result.cause = "killed";
-    else if (r->asked_to_save) result.cause = "stopped";
+    if (r->killed)
+        result.cause = "killed";
+    else if (r->asked_to_save)
+        result.cause = "stopped";
     bool done = false;
     if (good && !r->killed && !r->asked_to_save) {
         depot::Final final;
@@ -341,10 +348,11 @@
         if (!done) stage.abandon();
     });
     // Nobody waits for the cleaning up after a success.
-    if (done) net::asio::post(pool_, [root = stage.root()] {
-        std::error_code ec;
-        fs::remove_all(root, ec);
-    });
+    if (done)
+        net::asio::post(pool_, [root = stage.root()] {
+            std::error_code ec;
+            fs::remove_all(root, ec);
+        });
     co_return done;
 }
 
--- a/src/worker/machine.cpp
+++ b/src/worker/machine.cpp
@@ -23,8 +23,8 @@
 }
 
 std::size_t Machine::live() const {
-    return static_cast<std::size_t>(
-        std::count_if(tasks_.begin(), tasks_.end(), [](auto& kv) { return kv.second.state != TaskState::exited; }));
+    return static_cast<std::size_t>(std::count_if(
+        tasks_.begin(), tasks_.end(), [](auto& kv) { return kv.second.state != TaskState::exited; }));
 }
 
 void Machine::learn(std::uint64_t token, TimePoint now) {
@@ -50,8 +50,8 @@
     return true;
 }
 
-bool Machine::commanded(std::uint64_t token, std::uint64_t session, const std::vector<wire::Command>& commands,
-                        TimePoint now) {
+bool Machine::commanded(std::uint64_t token, std::uint64_t session,
+                        const std::vector<wire::Command>& commands, TimePoint now) {
     // A machine that hung past its lease must not obey before it has ended its session.
     tick(now);
     if (token < token_ || session != session_ || ending()) return false;
--- a/src/worker/machine.hpp
+++ b/src/worker/machine.hpp
@@ -75,9 +75,9 @@
     // When the next report is due.
     TimePoint report_due(TimePoint now) const;
     void reported(TimePoint sent);
-    // What has changed so far stands in the answer to a command, which is a report as well: it needs no other.
-    // Should that answer be lost, the next regular report tells it. Otherwise each start would use up the half
-    // second that must lie between reports, and the end of a short task would wait for the next.
+    // What has changed so far stands in the answer to a command, which is a report as well: it needs no
+    // other. Should that answer be lost, the next regular report tells it. Otherwise each start would use up
+    // the half second that must lie between reports, and the end of a short task would wait for the next.
     void told() { has_change_ = false; }
     bool fetching() const;  // some task's description is being read
     std::vector<Action> take_actions() { return std::exchange(actions_, {}); }
--- a/src/worker/main.cpp
+++ b/src/worker/main.cpp
@@ -9,7 +9,8 @@
     CLI::App cli{"barrowrun-worker: runs tasks on one machine, as the controllers say"};
     std::string file;
     bool check = false;
-    cli.add_option("--config", file, "this worker's settings (JSON, see schema/worker.schema.json)")->required();
+    cli.add_option("--config", file, "this worker's settings (JSON, see schema/worker.schema.json)")
+        ->required();
     cli.add_flag("--check-config", check, "check the settings and end");
     cli.set_version_flag("--version", "barrowrun-worker " BARROWRUN_VERSION);
     CLI11_PARSE(cli, argc, argv);
--- a/src/worker/process.cpp
+++ b/src/worker/process.cpp
@@ -47,7 +47,8 @@
     std::vector<char> part(65536);
     auto ended = [this]() -> Task<> {
         while (!proc::ended(pidfd_.native_handle()))
-            co_await pidfd_.async_wait(net::asio::posix::descriptor_base::wait_read, net::asio::use_awaitable);
+            co_await pidfd_.async_wait(net::asio::posix::descriptor_base::wait_read,
+                                       net::asio::use_awaitable);
     };
     auto read = [&]() -> Task<> {
         for (;;) {
@@ -57,8 +58,10 @@
             if (ec) co_return;
             // One portion at a time: a command that writes without end must not keep reports from going out.
             auto n = ::read(out_.native_handle(), part.data(), part.size());
-            if (n > 0) output(part.data(), static_cast<std::size_t>(n));
-            else if (n == 0) break;
+            if (n > 0)
+                output(part.data(), static_cast<std::size_t>(n));
+            else if (n == 0)
+                break;
         }
         co_await ended();
     };
--- a/src/worker/process.hpp
+++ b/src/worker/process.hpp
@@ -16,8 +16,8 @@
     ~Process();
     Process(const Process&) = delete;
     Process& operator=(const Process&) = delete;
-    // Hands on what it writes, until it ends; then the rest of its group is ended too. Gives the exit status, or
-    // the signal's number, negative.
+    // Hands on what it writes, until it ends; then the rest of its group is ended too. Gives the exit status,
+    // or the signal's number, negative.
     Task<int> wait(std::function<void(const char*, std::size_t)> output);
     void signal(int number) const;  // to the whole group
 
--- a/src/worker/stage.cpp
+++ b/src/worker/stage.cpp
@@ -135,7 +135,8 @@
         } else if (output) {
             if (what_.fresh_outputs || S_ISDIR(at->st_mode)) continue;
             copy_with_time(e.path(), shown);
-            if (auto s = look(shown)) seen_[name] = {Seen::copy, s->st_ino, mtime_ns(*s), static_cast<std::uintmax_t>(s->st_size)};
+            if (auto s = look(shown))
+                seen_[name] = {Seen::copy, s->st_ino, mtime_ns(*s), static_cast<std::uintmax_t>(s->st_size)};
         } else if (inputs_.contains(name) && S_ISREG(at->st_mode) &&
                    ::link(e.path().c_str(), shown.c_str()) == 0) {
             seen_[name] = {Seen::hard, at->st_ino, mtime_ns(*at), static_cast<std::uintmax_t>(at->st_size)};
@@ -183,18 +184,18 @@
             // A link of the view that the steps gave another name: the file itself is moved.
             auto target = fs::read_symlink(work_ / name);
             auto from = target.lexically_relative(dir_);
-            if (auto was = seen_.find(from); was != seen_.end() && was->second.kind == Seen::link &&
-                                             !look(work_ / from)) {
+            if (auto was = seen_.find(from);
+                was != seen_.end() && was->second.kind == Seen::link && !look(work_ / from)) {
                 moved[from] = name;
                 out.outputs.push_back({(dir_ / from).string(), (dir_ / name).string(), "", mtime_ns(*s)});
             } else {
                 publish(name, out);
             }
         } else if (S_ISREG(s->st_mode)) {
-            bool same = seen && seen->inode == s->st_ino &&
-                        (seen->kind == Seen::hard ||
-                         (seen->kind == Seen::copy && seen->mtime_ns == mtime_ns(*s) &&
-                          seen->size == static_cast<std::uintmax_t>(s->st_size)));
+            bool same =
+                seen && seen->inode == s->st_ino &&
+                (seen->kind == Seen::hard || (seen->kind == Seen::copy && seen->mtime_ns == mtime_ns(*s) &&
+                                              seen->size == static_cast<std::uintmax_t>(s->st_size)));
             if (!same) publish(name, out);
         }
     }
@@ -222,7 +223,8 @@
     walk("", out, moved);
     for (auto& [rel, seen] : seen_) {
         if (seen.kind == Seen::directory || moved.contains(rel) || look(work_ / rel)) continue;
-        if (auto s = look(dir_ / rel); s && !S_ISDIR(s->st_mode)) out.removed.push_back((dir_ / rel).string());
+        if (auto s = look(dir_ / rel); s && !S_ISDIR(s->st_mode))
+            out.removed.push_back((dir_ / rel).string());
     }
     // A name must not change between file and directory under the feet of those who use it.
     for (auto& o : out.outputs) {
--- a/src/worker/stage.hpp
+++ b/src/worker/stage.hpp
@@ -3,9 +3,9 @@
 // is moved into place only after a success. Nothing half-written ever stands under a name that others read.
 //
 // How it looks: directories on the way to an output or an input are real ones; inputs are hard links, so that
-// archivers see files; an output that exists is a copy, so that steps may append to it; all else is a symbolic
-// link. What steps write outside of it, by absolute names, by `..` or into a linked directory, happens at
-// once; of these, declared outputs that a failed attempt changed are removed.
+// archivers see files; an output that exists is a copy, so that steps may append to it; all else is a
+// symbolic link. What steps write outside of it, by absolute names, by `..` or into a linked directory,
+// happens at once; of these, declared outputs that a failed attempt changed are removed.
 #include <map>
 #include <set>
 
--- a/src/workflow/driver.cpp
+++ b/src/workflow/driver.cpp
@@ -59,8 +59,10 @@
         auto it = by_key.find(r.node);
         if (it == by_key.end()) continue;  // the rules have changed: nobody asks for it any more
         jobs_on_record_[r.node] = r.job;
-        if (r.state == NodeState::done) flow_.made_before(it->second);
-        else flow_.resumed(it->second);
+        if (r.state == NodeState::done)
+            flow_.made_before(it->second);
+        else
+            flow_.resumed(it->second);
     }
 }
 
@@ -79,14 +81,15 @@
         act();
     }
     // Jobs that are to be stopped have been told so, or the site can't be reached.
-    for (const auto end = Clock::now() + 10s; cancelling_ > 0 && Clock::now() < end;) co_await changed_.wait(100ms);
+    for (const auto end = Clock::now() + 10s; cancelling_ > 0 && Clock::now() < end;)
+        co_await changed_.wait(100ms);
     duties_.cancel();
     if (broken_) std::rethrow_exception(broken_);
     auto state = cancelled_ ? FlowState::cancelled : flow_.failed() ? FlowState::failed : FlowState::done;
     if (!settings_.options.dry_run) {
         auto c = flow_.counts();
-        journal_.progress(record_.id, static_cast<std::int64_t>(c.total), static_cast<std::int64_t>(c.done + c.current),
-                          static_cast<std::int64_t>(c.failed));
+        journal_.progress(record_.id, static_cast<std::int64_t>(c.total),
+                          static_cast<std::int64_t>(c.done + c.current), static_cast<std::int64_t>(c.failed));
         journal_.close(record_.id, state, now_ms());
         for (auto& r : journal_.nodes(record_.id)) {
             depot::sweep_stages(settings_.dir, {r.job, 0});
@@ -234,8 +237,8 @@
 }
 
 void Driver::put_on_record(const std::vector<Handle>& batch) {
-    // Described, then on record, then submitted: whatever ends this process in between, its successor knows the
-    // job by the same name, and finds what it is to run.
+    // Described, then on record, then submitted: whatever ends this process in between, its successor knows
+    // the job by the same name, and finds what it is to run.
     std::vector<NodeRecord> records;
     for (auto& s : batch) {
         const auto& node = rules_.graph().nodes[s->node];
@@ -283,7 +286,8 @@
             fail(s, "refused: " + outcome.why);
             co_return;
         }
-        if (!said && on_note) on_note("the site does not take " + s->job + ": " + outcome.why + "; trying on");
+        if (!said && on_note)
+            on_note("the site does not take " + s->job + ": " + outcome.why + "; trying on");
         said = true;
     }
 }
@@ -326,8 +330,10 @@
         auto pause = std::max<Clock::duration>(settings_.poll, running_.size() * 20ms);
         for (auto& [job, s] : running_) {
             if (!s->submitted) continue;
-            if (s->eager > 0) --s->eager;
-            else if (now - s->asked < pause) continue;
+            if (s->eager > 0)
+                --s->eager;
+            else if (now - s->asked < pause)
+                continue;
             due.push_back(s);
         }
         for (auto& s : due) {
@@ -407,7 +413,8 @@
         r.why = why.empty() || why == "failed" ? (r.result ? r.result->cause : "failed") : why;
         r.state = State::failed;
     }
-    journal_.finished(record_.id, {key(s->node), s->job, success ? NodeState::done : NodeState::failed, r.why});
+    journal_.finished(record_.id,
+                      {key(s->node), s->job, success ? NodeState::done : NodeState::failed, r.why});
     if (success) journal_.remember_recipe(key(s->node), s->work.fingerprint());
     flow_.started(s->node);
     flow_.final(s->node, success, success ? look(s->node) : Facts{});
--- a/src/workflow/driver.hpp
+++ b/src/workflow/driver.hpp
@@ -1,6 +1,6 @@
 #pragma once
-// Drives a flow: does the I/O that its decisions ask for, and keeps the journal. A task's final answer stands in the
-// depot, where it is decided once; the controllers say what has failed for good.
+// Drives a flow: does the I/O that its decisions ask for, and keeps the journal. A task's final answer stands
+// in the depot, where it is decided once; the controllers say what has failed for good.
 #include <functional>
 #include <memory>
 #include <set>
@@ -18,7 +18,7 @@
 struct NodeReport {
     const Node* node = nullptr;
     State state = State::done;
-    std::string job, why;             // why: of a failure
+    std::string job, why;  // why: of a failure
     std::optional<depot::Result> result;
     Seconds took{};
 };
@@ -32,11 +32,11 @@
 
 class Driver {
   public:
-    Driver(net::asio::io_context& io, client::JobService& service, depot::Depot depot, Journal& journal, Rules& rules,
-           FlowRecord flow, DriverSettings settings);
+    Driver(net::asio::io_context& io, client::JobService& service, depot::Depot depot, Journal& journal,
+           Rules& rules, FlowRecord flow, DriverSettings settings);
     std::function<void(const NodeReport&)> on_report;
     std::function<void(const Counts&)> on_counts;
-    std::function<void(const std::string&)> on_note;   // something for people to know, a line
+    std::function<void(const std::string&)> on_note;  // something for people to know, a line
     // Until the flow is over; its state then. Throws what keeps it from being driven at all.
     Task<FlowState> run();
     void cancel();  // all of it, also what runs
@@ -66,8 +66,8 @@
     Task<> watch();
     Task<> sweep();
     Task<> poll(Handle s);
-    void conclude(Handle s);                       // if its final answer is there
-    void fail(Handle s, const std::string& why);   // no answer will come: it is given up
+    void conclude(Handle s);                      // if its final answer is there
+    void fail(Handle s, const std::string& why);  // no answer will come: it is given up
     void finish(Handle s, bool success, const std::string& why);
     void remove(NodeId n);
     std::string key(NodeId n) const { return keys_[n]; }
--- a/src/workflow/flow.cpp
+++ b/src/workflow/flow.cpp
@@ -6,16 +6,26 @@
 
 const char* state_name(State s) {
     switch (s) {
-        case State::waiting: return "waiting";
-        case State::looking: return "looking";
-        case State::lazy: return "not needed";
-        case State::queued: return "queued";
-        case State::starting: return "starting";
-        case State::running: return "running";
-        case State::done: return "done";
-        case State::current: return "up to date";
-        case State::failed: return "failed";
-        case State::skipped: return "skipped";
+        case State::waiting:
+            return "waiting";
+        case State::looking:
+            return "looking";
+        case State::lazy:
+            return "not needed";
+        case State::queued:
+            return "queued";
+        case State::starting:
+            return "starting";
+        case State::running:
+            return "running";
+        case State::done:
+            return "done";
+        case State::current:
+            return "up to date";
+        case State::failed:
+            return "failed";
+        case State::skipped:
+            return "skipped";
     }
     return "";
 }
@@ -216,8 +226,10 @@
     for (NodeId n = 0; n < nodes_.size(); ++n) {
         auto& t = nodes_[n];
         if (!t.wanted || is_final(t.state)) continue;
-        if (t.state == State::running) actions_.push_back({FlowAction::cancel, n});
-        else if (t.state != State::starting) settle(n, State::skipped);
+        if (t.state == State::running)
+            actions_.push_back({FlowAction::cancel, n});
+        else if (t.state != State::starting)
+            settle(n, State::skipped);
     }
     drain();
 }
@@ -234,7 +246,8 @@
     for (auto need : t.needs) {
         auto& other = nodes_[need];
         if (--other.open_users > 0) continue;
-        if (other.state == State::lazy) settle(need, State::current);
+        if (other.state == State::lazy)
+            settle(need, State::current);
         else if (graph_.nodes[need].remove_early && other.state == State::done)
             actions_.push_back({FlowAction::remove, need});
     }
@@ -273,13 +286,25 @@
         if (!t.wanted || (!graph_.nodes[n].has_work && t.state != State::failed)) continue;
         ++c.total;
         switch (t.state) {
-            case State::done: ++c.done; break;
-            case State::current: ++c.current; break;
-            case State::failed: ++c.failed; break;
-            case State::skipped: ++c.skipped; break;
+            case State::done:
+                ++c.done;
+                break;
+            case State::current:
+                ++c.current;
+                break;
+            case State::failed:
+                ++c.failed;
+                break;
+            case State::skipped:
+                ++c.skipped;
+                break;
             case State::running:
-            case State::starting: ++c.running; break;
-            default: ++c.waiting; break;
+            case State::starting:
+                ++c.running;
+                break;
+            default:
+                ++c.waiting;
+                break;
         }
     }
     return c;
--- a/src/workflow/flow.hpp
+++ b/src/workflow/flow.hpp
@@ -1,7 +1,7 @@
 #pragma once
-// The decisions of a flow: which nodes are up to date, which start when, and what becomes of the rest. State +
-// event -> actions; no I/O, no clock. Whoever drives it keeps a journal and does the I/O: a client today, a daemon
-// later.
+// The decisions of a flow: which nodes are up to date, which start when, and what becomes of the rest. State
+// + event -> actions; no I/O, no clock. Whoever drives it keeps a journal and does the I/O: a client today, a
+// daemon later.
 #include <deque>
 #include <set>
 
@@ -19,17 +19,19 @@
     done,      // made
     current,   // was up to date, or has nothing to be made
     failed,
-    skipped,   // something it needs has failed, or the flow was stopped before it started
+    skipped,  // something it needs has failed, or the flow was stopped before it started
 };
 const char* state_name(State s);
-inline bool is_final(State s) { return s >= State::done; }
+inline bool is_final(State s) {
+    return s >= State::done;
+}
 
 // What the files of a node show. Times are nanoseconds of the epoch.
 struct Facts {
-    bool missing = false;          // an output is not there
-    std::int64_t oldest = 0;       // of its outputs
-    std::int64_t newest = 0;       // what the node counts as for those that need it
-    bool recipe_changed = false;   // and that matters
+    bool missing = false;         // an output is not there
+    std::int64_t oldest = 0;      // of its outputs
+    std::int64_t newest = 0;      // what the node counts as for those that need it
+    bool recipe_changed = false;  // and that matters
 };
 
 struct FlowOptions {
@@ -82,11 +84,11 @@
   private:
     struct Track {
         State state = State::waiting;
-        std::uint32_t open_needs = 0;   // not final yet
-        std::uint32_t open_users = 0;   // that need it and are not final
-        bool wanted = false;            // part of this flow
+        std::uint32_t open_needs = 0;  // not final yet
+        std::uint32_t open_users = 0;  // that need it and are not final
+        bool wanted = false;           // part of this flow
         bool resumed = false, demanded = false, must_make = false;
-        bool changed = false;           // made in this flow, or a name that is no file
+        bool changed = false;  // made in this flow, or a name that is no file
         Facts facts;
         std::vector<NodeId> needs, users, newer;  // each once
     };
--- a/src/workflow/graph.hpp
+++ b/src/workflow/graph.hpp
@@ -1,5 +1,6 @@
 #pragma once
-// What rules come to: files, how each is made, and what must be there first. Readers build it, a flow walks it.
+// What rules come to: files, how each is made, and what must be there first. Readers build it, a flow walks
+// it.
 #include <cstdint>
 #include <memory>
 #include <optional>
@@ -39,16 +40,16 @@
     Place place;                       // of the rule; line 0: a file that no rule makes
     std::vector<std::string> outputs;  // files, as the rules spell them
     std::vector<Need> needs;
-    bool has_work = false;             // there are steps to run
-    bool phony = false;                // always to be done, no file
-    bool forced = false;               // done whatever its files' ages are
+    bool has_work = false;  // there are steps to run
+    bool phony = false;     // always to be done, no file
+    bool forced = false;    // done whatever its files' ages are
     // A file that is only a step on the way: not made for its own sake, and removed at the end.
     bool passing = false;
-    bool keep = false;                 // of a passing one: not removed
-    bool remove_early = false;         // removed once all that need it are done, not at the end
-    int priority = 0;                  // greater first, among what may start
-    // Of several rules for one file that are independent of one another: its age counts as it was when the first
-    // of them was looked at.
+    bool keep = false;          // of a passing one: not removed
+    bool remove_early = false;  // removed once all that need it are done, not at the end
+    int priority = 0;           // greater first, among what may start
+    // Of several rules for one file that are independent of one another: its age counts as it was when the
+    // first of them was looked at.
     std::optional<NodeId> judged_with;
 };
 
@@ -81,8 +82,8 @@
     void check_acyclic() const;
 };
 
-// A read rule file: its graph, and the work of each node, asked for when all it needs is there, since rules may
-// look at files only then. `newer`: of what it needs, the nodes that are newer than its outputs.
+// A read rule file: its graph, and the work of each node, asked for when all it needs is there, since rules
+// may look at files only then. `newer`: of what it needs, the nodes that are newer than its outputs.
 class Rules {
   public:
     virtual ~Rules() = default;
--- a/src/workflow/journal.cpp
+++ b/src/workflow/journal.cpp
@@ -29,10 +29,14 @@
 
 const char* flow_state_name(FlowState s) {
     switch (s) {
-        case FlowState::open: return "open";
-        case FlowState::done: return "done";
-        case FlowState::failed: return "failed";
-        case FlowState::cancelled: return "cancelled";
+        case FlowState::open:
+            return "open";
+        case FlowState::done:
+            return "done";
+        case FlowState::failed:
+            return "failed";
+        case FlowState::cancelled:
+            return "cancelled";
     }
     return "";
 }
@@ -45,24 +49,31 @@
 
 Journal::Journal(const std::string& dir) : dir_(dir), db_(own_dir(dir) + "/flows.db") {
     db_.run(
-        "CREATE TABLE IF NOT EXISTS flows(id TEXT PRIMARY KEY, key TEXT NOT NULL, kind TEXT NOT NULL, args TEXT NOT "
-        "NULL, state INTEGER NOT NULL, created_ms INTEGER NOT NULL, ended_ms INTEGER NOT NULL, cancel_asked INTEGER "
+        "CREATE TABLE IF NOT EXISTS flows(id TEXT PRIMARY KEY, key TEXT NOT NULL, kind TEXT NOT NULL, args "
+        "TEXT NOT "
+        "NULL, state INTEGER NOT NULL, created_ms INTEGER NOT NULL, ended_ms INTEGER NOT NULL, cancel_asked "
+        "INTEGER "
         "NOT NULL, total INTEGER NOT NULL, done INTEGER NOT NULL, failed INTEGER NOT NULL);"
-        "CREATE TABLE IF NOT EXISTS nodes(flow TEXT NOT NULL, node BLOB NOT NULL, job TEXT NOT NULL, state INTEGER NOT "
+        "CREATE TABLE IF NOT EXISTS nodes(flow TEXT NOT NULL, node BLOB NOT NULL, job TEXT NOT NULL, state "
+        "INTEGER NOT "
         "NULL, note BLOB NOT NULL, PRIMARY KEY(flow, node)) WITHOUT ROWID;"
-        "CREATE TABLE IF NOT EXISTS recipes(target BLOB PRIMARY KEY, fingerprint TEXT NOT NULL) WITHOUT ROWID;");
+        "CREATE TABLE IF NOT EXISTS recipes(target BLOB PRIMARY KEY, fingerprint TEXT NOT NULL) WITHOUT "
+        "ROWID;");
 }
 
 FlowRecord Journal::read(store::Statement& s) {
-    return FlowRecord{s.bytes(0),  s.bytes(1),  s.bytes(2),  s.bytes(3),      static_cast<FlowState>(s.number(4)),
-                      s.number(5), s.number(6), s.number(7) != 0, s.number(8), s.number(9), s.number(10)};
+    return FlowRecord{
+        s.bytes(0),  s.bytes(1),  s.bytes(2),       s.bytes(3),  static_cast<FlowState>(s.number(4)),
+        s.number(5), s.number(6), s.number(7) != 0, s.number(8), s.number(9),
+        s.number(10)};
 }
 
 FlowRecord Journal::open(const std::string& key, const std::string& kind, const std::string& args,
                          std::int64_t now) {
     store::Transaction txn(db_);
     {
-        auto s = db_.prepare((std::string("SELECT ") + columns + " FROM flows WHERE key=? AND state=0").c_str());
+        auto s =
+            db_.prepare((std::string("SELECT ") + columns + " FROM flows WHERE key=? AND state=0").c_str());
         s.text(key);
         if (s.step()) {
             auto r = read(s);
@@ -117,7 +128,12 @@
     store::Transaction txn(db_);
     auto s = db_.prepare("INSERT OR IGNORE INTO nodes VALUES(?,?,?,?,?)");
     for (auto& n : nodes)
-        s.text(flow).bind(n.node).text(n.job).bind(static_cast<std::int64_t>(NodeState::started)).bind("").run();
+        s.text(flow)
+            .bind(n.node)
+            .text(n.job)
+            .bind(static_cast<std::int64_t>(NodeState::started))
+            .bind("")
+            .run();
     txn.commit();
 }
 
--- a/src/workflow/journal.hpp
+++ b/src/workflow/journal.hpp
@@ -1,6 +1,6 @@
 #pragma once
-// What a flow has decided, on disk before it acts: `.barrowrun/flows.db` in the directory that it works in. Killed
-// at any moment, its driver's successor goes on from here.
+// What a flow has decided, on disk before it acts: `.barrowrun/flows.db` in the directory that it works in.
+// Killed at any moment, its driver's successor goes on from here.
 #include <chrono>
 #include <map>
 #include <memory>
@@ -37,7 +37,8 @@
     explicit Journal(const std::string& dir);  // the working directory; throws store::StoreError
     const std::string& dir() const { return dir_; }
     // The open flow of this key, or a new one.
-    FlowRecord open(const std::string& key, const std::string& kind, const std::string& args, std::int64_t now_ms);
+    FlowRecord open(const std::string& key, const std::string& kind, const std::string& args,
+                    std::int64_t now_ms);
     std::vector<FlowRecord> flows();
     std::optional<FlowRecord> find(const std::string& id);  // or the only one whose id begins so
     std::optional<FlowRecord> unfinished();
--- a/src/workflow/make/expand.cpp
+++ b/src/workflow/make/expand.cpp
@@ -24,8 +24,10 @@
     std::size_t from = 0;
     for (std::size_t i = 0; i < rest.size(); ++i) {
         char c = rest[i];
-        if (c == '(' || c == '{') ++depth;
-        else if (c == ')' || c == '}') --depth;
+        if (c == '(' || c == '{')
+            ++depth;
+        else if (c == ')' || c == '}')
+            --depth;
         else if (c == ',' && depth == 0 && (most == 0 || out.size() + 1 < most)) {
             out.emplace_back(rest.substr(from, i - from));
             from = i + 1;
@@ -42,6 +44,19 @@
     return std::stol(s);
 }
 
+// Of the reference that opens here, where it closes.
+std::size_t reference_end(std::string_view text, std::size_t opens, const Place& at) {
+    const char open = text[opens], close = open == '(' ? ')' : '}';
+    int depth = 0;
+    for (auto end = opens; end < text.size(); ++end) {
+        if (text[end] == open)
+            ++depth;
+        else if (text[end] == close && --depth == 0)
+            return end;
+    }
+    throw RuleError(at, std::string("unterminated reference: expected '") + close + "'");
+}
+
 std::string replace_all(const std::string& text, const std::string& from, const std::string& to) {
     if (from.empty()) return text + to;
     std::string out;
@@ -149,15 +164,7 @@
             out += '$';
             i = dollar + 2;
         } else if (next == '(' || next == '{') {
-            const char open = next, close = next == '(' ? ')' : '}';
-            int depth = 0;
-            std::size_t end = dollar + 1;
-            for (; end < text.size(); ++end) {
-                if (text[end] == open) ++depth;
-                else if (text[end] == close && --depth == 0) break;
-            }
-            if (end == text.size())
-                throw RuleError(at, std::string("unterminated reference: expected '") + close + "'");
+            auto end = reference_end(text, dollar + 1, at);
             out += reference(text.substr(dollar + 2, end - dollar - 2), scope, at);
             i = end + 1;
         } else {
@@ -172,21 +179,15 @@
 void Expander::check(std::string_view text, const Place& at) {
     for (std::size_t i = 0; i + 1 < text.size(); ++i) {
         if (text[i] != '$') continue;
-        char open = text[i + 1], close = open == '(' ? ')' : '}';
-        if (open != '(' && open != '{') {
+        if (text[i + 1] != '(' && text[i + 1] != '{') {
             ++i;
             continue;
         }
-        int depth = 0;
-        std::size_t end = i + 1;
-        for (; end < text.size(); ++end) {
-            if (text[end] == open) ++depth;
-            else if (text[end] == close && --depth == 0) break;
-        }
-        if (end == text.size()) throw RuleError(at, std::string("unterminated reference: expected '") + close + "'");
+        auto end = reference_end(text, i + 1, at);
         auto inside = text.substr(i + 2, end - i - 2);
         for (auto* f : {"guile ", "file ", "eval "})
-            if (inside.starts_with(f)) throw RuleError(at, "$(" + std::string(f, std::strlen(f) - 1) + " ...) isn't supported here");
+            if (inside.starts_with(f))
+                throw RuleError(at, "$(" + std::string(f, std::strlen(f) - 1) + " ...) isn't supported here");
         ++i;
     }
 }
@@ -196,13 +197,12 @@
     auto end = inside.find_first_of(" \t");
     if (end != std::string_view::npos) {
         std::string name(inside.substr(0, end));
-        if (name == "guile" || name == "file")
-            throw RuleError(at, "$(" + name + " ...) isn't supported");
+        if (name == "guile" || name == "file") throw RuleError(at, "$(" + name + " ...) isn't supported");
         auto f = functions().find(name);
         if (f != functions().end()) {
             auto from = inside.find_first_not_of(" \t", end);
-            return call_function(name, f->second, from == std::string_view::npos ? "" : inside.substr(from), scope,
-                                 at);
+            return call_function(name, f->second, from == std::string_view::npos ? "" : inside.substr(from),
+                                 scope, at);
         }
     }
     // $(name:a=b): a substitution.
@@ -225,8 +225,8 @@
                                     const Scope* scope, const Place& at) {
     auto args = arguments(rest, f.most);
     if (args.size() < f.least)
-        throw RuleError(at, "$(" + name + " ...) takes at least " + std::to_string(f.least) + " arguments, not " +
-                                std::to_string(args.size()));
+        throw RuleError(at, "$(" + name + " ...) takes at least " + std::to_string(f.least) +
+                                " arguments, not " + std::to_string(args.size()));
     if (f.expanded)
         for (auto& a : args) a = expand(a, scope, at);
     return f.run(*this, args, scope, at);
@@ -234,7 +234,8 @@
 
 std::vector<std::string> Expander::shell_words(const Scope* scope, const Place& at) {
     std::vector<std::string> out{"/bin/sh"};
-    if (auto* v = find("SHELL", scope); v && v->origin != Origin::environment) out[0] = value("SHELL", scope, at);
+    if (auto* v = find("SHELL", scope); v && v->origin != Origin::environment)
+        out[0] = value("SHELL", scope, at);
     auto flags = words(find(".SHELLFLAGS", scope) ? value(".SHELLFLAGS", scope, at) : "-c");
     out.insert(out.end(), flags.begin(), flags.end());
     return out;
@@ -275,7 +276,8 @@
         inner.own[std::to_string(i)] = {i == 0 ? name : args[i], false, Origin::automatic, {}};
     // Arguments of an outer call don't reach the inner one.
     for (std::size_t i = args.size(); i < 20; ++i)
-        if (scope && scope->find(std::to_string(i))) inner.own[std::to_string(i)] = {"", false, Origin::automatic, {}};
+        if (scope && scope->find(std::to_string(i)))
+            inner.own[std::to_string(i)] = {"", false, Origin::automatic, {}};
     // A function may call itself, with an end.
     return v->recursive ? expand(v->value, &inner, at) : v->value;
 }
@@ -315,7 +317,8 @@
     using Args = std::vector<std::string>&;
     using At = const Place&;
     static const std::map<std::string, Function> table{
-        {"subst", {3, 3, true, [](Expander&, Args a, const Scope*, At) { return replace_all(a[2], a[0], a[1]); }}},
+        {"subst",
+         {3, 3, true, [](Expander&, Args a, const Scope*, At) { return replace_all(a[2], a[0], a[1]); }}},
         {"patsubst",
          {3, 3, true,
           [](Expander&, Args a, const Scope*, At) {
@@ -329,8 +332,10 @@
           [](Expander&, Args a, const Scope*, At) {
               return a[1].find(a[0]) != std::string::npos ? a[0] : std::string();
           }}},
-        {"filter", {2, 2, true, [](Expander&, Args a, const Scope*, At) { return filtered(a[0], a[1], true); }}},
-        {"filter-out", {2, 2, true, [](Expander&, Args a, const Scope*, At) { return filtered(a[0], a[1], false); }}},
+        {"filter",
+         {2, 2, true, [](Expander&, Args a, const Scope*, At) { return filtered(a[0], a[1], true); }}},
+        {"filter-out",
+         {2, 2, true, [](Expander&, Args a, const Scope*, At) { return filtered(a[0], a[1], false); }}},
         {"sort",
          {1, 1, true,
           [](Expander&, Args a, const Scope*, At) {
@@ -359,7 +364,8 @@
               return join(out);
           }}},
         {"words",
-         {1, 1, true, [](Expander&, Args a, const Scope*, At) { return std::to_string(words(a[0]).size()); }}},
+         {1, 1, true,
+          [](Expander&, Args a, const Scope*, At) { return std::to_string(words(a[0]).size()); }}},
         {"firstword",
          {1, 1, true,
           [](Expander&, Args a, const Scope*, At) {
@@ -377,7 +383,8 @@
         {"suffix",
          {1, 1, true,
           [](Expander&, Args a, const Scope*, At) { return join(words(each(a[0], suffix_part))); }}},
-        {"basename", {1, 1, true, [](Expander&, Args a, const Scope*, At) { return each(a[0], basename_part); }}},
+        {"basename",
+         {1, 1, true, [](Expander&, Args a, const Scope*, At) { return each(a[0], basename_part); }}},
         {"addsuffix",
          {2, 2, true,
           [](Expander&, Args a, const Scope*, At) {
@@ -457,7 +464,8 @@
                   if (v = strip(e.expand(strip(x), s, at)); v.empty()) break;
               return v;
           }}},
-        {"call", {1, 0, true, [](Expander& e, Args a, const Scope* s, At at) { return e.user_call(a, s, at); }}},
+        {"call",
+         {1, 0, true, [](Expander& e, Args a, const Scope* s, At at) { return e.user_call(a, s, at); }}},
         {"eval",
          {1, 1, true,
           [](Expander& e, Args a, const Scope*, At at) {
@@ -465,19 +473,27 @@
               e.on_eval(a[0], at);
               return std::string();
           }}},
-        {"shell", {1, 1, true, [](Expander& e, Args a, const Scope* s, At at) { return e.shell(a[0], s, at); }}},
+        {"shell",
+         {1, 1, true, [](Expander& e, Args a, const Scope* s, At at) { return e.shell(a[0], s, at); }}},
         {"origin",
          {1, 1, true,
           [](Expander& e, Args a, const Scope* s, At) {
               const Variable* v = e.find(strip(a[0]), s);
               switch (v ? v->origin : Origin::undefined) {
-                  case Origin::undefined: return std::string("undefined");
-                  case Origin::default_: return std::string("default");
-                  case Origin::environment: return std::string("environment");
-                  case Origin::file: return std::string("file");
-                  case Origin::command_line: return std::string("command line");
-                  case Origin::override_: return std::string("override");
-                  case Origin::automatic: return std::string("automatic");
+                  case Origin::undefined:
+                      return std::string("undefined");
+                  case Origin::default_:
+                      return std::string("default");
+                  case Origin::environment:
+                      return std::string("environment");
+                  case Origin::file:
+                      return std::string("file");
+                  case Origin::command_line:
+                      return std::string("command line");
+                  case Origin::override_:
+                      return std::string("override");
+                  case Origin::automatic:
+                      return std::string("automatic");
               }
               return std::string();
           }}},
@@ -506,7 +522,8 @@
               return std::string();
           }}},
         {"error",
-         {1, 1, true, [](Expander&, Args a, const Scope*, At at) -> std::string { throw RuleError(at, a[0]); }}},
+         {1, 1, true,
+          [](Expander&, Args a, const Scope*, At at) -> std::string { throw RuleError(at, a[0]); }}},
     };
     return table;
 }
--- a/src/workflow/make/expand.hpp
+++ b/src/workflow/make/expand.hpp
@@ -48,8 +48,8 @@
     std::map<std::string, Variable>& global() { return global_; }
     const std::string& dir() const { return dir_; }
 
-    std::function<void(const std::string& text, const Place& at)> on_eval;       // $(eval)
-    std::function<void(const std::string& line)> on_message;                     // $(info), $(warning)
+    std::function<void(const std::string& text, const Place& at)> on_eval;  // $(eval)
+    std::function<void(const std::string& line)> on_message;                // $(info), $(warning)
     int shell_status() const { return shell_status_; }
     std::vector<std::string> shell_words(const Scope* scope, const Place& at);  // SHELL and .SHELLFLAGS
 
@@ -57,8 +57,8 @@
     struct Function;
     static const std::map<std::string, Function>& functions();
     std::string reference(std::string_view inside, const Scope* scope, const Place& at);
-    std::string call_function(const std::string& name, const Function& f, std::string_view rest, const Scope* scope,
-                              const Place& at);
+    std::string call_function(const std::string& name, const Function& f, std::string_view rest,
+                              const Scope* scope, const Place& at);
     std::string shell(const std::string& command, const Scope* scope, const Place& at);
     std::string user_call(const std::vector<std::string>& args, const Scope* scope, const Place& at);
     std::string dir_;
--- a/src/workflow/make/makefile.cpp
+++ b/src/workflow/make/makefile.cpp
@@ -144,14 +144,16 @@
     auto flags = expander_.value("MAKEFLAGS", nullptr, {file_, 0});
     bool built_in = parser_.has_built_in();
     for (auto& f : words(flags))
-        if (f == "r" || f == "-r" || f == "--no-builtin-rules" || f == "R" || f == "-R" || f == "-rR" || f == "rR") {
+        if (f == "r" || f == "-r" || f == "--no-builtin-rules" || f == "R" || f == "-R" || f == "-rR" ||
+            f == "rR") {
             std::erase_if(book_.patterns, [](auto& p) { return p.built_in; });
             built_in = false;
         }
     resolver_ = std::make_unique<Resolver>(expander_, book_, graph_, built_in);
     for (auto& [name, at] : parser_.not_included())
         if (resolver_->could_make(name))
-            throw RuleError(at, "'" + name + "' would be made by a rule before it is included: that isn't supported");
+            throw RuleError(
+                at, "'" + name + "' would be made by a rule before it is included: that isn't supported");
     resolver_->goals(options.goals);
     graph_.check_acyclic();
     graph_.warnings.insert(graph_.warnings.end(), book_.warnings.begin(), book_.warnings.end());
@@ -170,15 +172,15 @@
     expander_.on_eval = nullptr;
 }
 
-double Makefile::number(const std::string& name, const Scope* scope, const Place& at, double otherwise, double least,
-                        double most) {
+double Makefile::number(const std::string& name, const Scope* scope, const Place& at, double otherwise,
+                        double least, double most) {
     if (!expander_.find(name, scope)) return otherwise;
     auto text = strip(expander_.value(name, scope, at));
     char* end = nullptr;
     double v = std::strtod(text.c_str(), &end);
     if (text.empty() || *end || !(v >= least && v <= most))
-        throw RuleError(at, name + ": expected a number from " + std::to_string(static_cast<long>(least)) + " to " +
-                                std::to_string(static_cast<long>(most)) + ", not '" + text + "'");
+        throw RuleError(at, name + ": expected a number from " + std::to_string(static_cast<long>(least)) +
+                                " to " + std::to_string(static_cast<long>(most)) + ", not '" + text + "'");
     return v;
 }
 
@@ -229,7 +231,8 @@
     }
     auto stem = making.stem;
     if (stem.empty())
-        for (auto* suffix : {".o", ".c", ".cc", ".cpp", ".C", ".s", ".S", ".a", ".h", ".sh", ".y", ".l", ".f", ".tex"})
+        for (auto* suffix :
+             {".o", ".c", ".cc", ".cpp", ".C", ".s", ".S", ".a", ".h", ".sh", ".y", ".l", ".f", ".tex"})
             if (making.target.ends_with(suffix)) stem = basename_part(making.target);
     automatic("@", making.target);
     automatic("*", stem);
@@ -248,9 +251,12 @@
         depot::Step step{"", !echo_off, ignore};
         std::size_t i = 0;
         for (; i < text.size(); ++i) {
-            if (text[i] == '@') step.echo = false;
-            else if (text[i] == '-') step.ignore = true;
-            else if (text[i] != '+' && text[i] != ' ' && text[i] != '\t') break;
+            if (text[i] == '@')
+                step.echo = false;
+            else if (text[i] == '-')
+                step.ignore = true;
+            else if (text[i] != '+' && text[i] != ' ' && text[i] != '\t')
+                break;
         }
         step.run = text.substr(i);
         if (!strip(step.run).empty()) w.steps.push_back(std::move(step));
@@ -301,7 +307,8 @@
     if (auto c = strip(expander_.value("BARROW_CLASS", scope, at)); !c.empty()) w.job_class = c;
     if (auto r = strip(expander_.value("BARROW_RANK", scope, at)); !r.empty()) {
         auto rank = wire::priority_of(r);
-        if (!rank) throw RuleError(at, "BARROW_RANK: expected production, urgent, normal or low, not '" + r + "'");
+        if (!rank)
+            throw RuleError(at, "BARROW_RANK: expected production, urgent, normal or low, not '" + r + "'");
         w.rank = *rank;
     }
 }
--- a/src/workflow/make/makefile.hpp
+++ b/src/workflow/make/makefile.hpp
@@ -7,7 +7,7 @@
 struct MakeOptions {
     std::string dir, file;  // file: empty for GNUmakefile, makefile or Makefile
     std::vector<std::string> goals;
-    std::vector<std::string> variables;  // NAME=VALUE
+    std::vector<std::string> variables;                  // NAME=VALUE
     std::function<void(const std::string&)> on_message;  // $(info), $(warning)
 };
 
@@ -24,8 +24,8 @@
     std::map<std::string, std::string> environment(const Scope* scope, const Place& at);
     // What the BARROW_ variables say.
     void resources(Work& w, const Scope* scope, const Place& at);
-    double number(const std::string& name, const Scope* scope, const Place& at, double otherwise, double least,
-                  double most);
+    double number(const std::string& name, const Scope* scope, const Place& at, double otherwise,
+                  double least, double most);
     std::string file_;
     Expander expander_;
     RuleBook book_;
--- a/src/workflow/make/parse.cpp
+++ b/src/workflow/make/parse.cpp
@@ -43,8 +43,10 @@
     }
     std::string plain;
     for (std::size_t i = 0; i < out.size(); ++i)
-        if (out[i] == '\\' && i + 1 < out.size() && out[i + 1] == '#') plain += out[++i];
-        else plain += out[i];
+        if (out[i] == '\\' && i + 1 < out.size() && out[i + 1] == '#')
+            plain += out[++i];
+        else
+            plain += out[i];
     return plain;
 }
 
@@ -64,11 +66,16 @@
     std::string op = "=";
     auto name_end = eq;
     auto before = [&](std::size_t n) { return eq >= n ? text[eq - n] : '\0'; };
-    if (before(1) == ':' && before(2) == ':') op = "::=", name_end = eq - 2;
-    else if (before(1) == ':') op = ":=", name_end = eq - 1;
-    else if (before(1) == '?') op = "?=", name_end = eq - 1;
-    else if (before(1) == '+') op = "+=", name_end = eq - 1;
-    else if (before(1) == '!') op = "!=", name_end = eq - 1;
+    if (before(1) == ':' && before(2) == ':')
+        op = "::=", name_end = eq - 2;
+    else if (before(1) == ':')
+        op = ":=", name_end = eq - 1;
+    else if (before(1) == '?')
+        op = "?=", name_end = eq - 1;
+    else if (before(1) == '+')
+        op = "+=", name_end = eq - 1;
+    else if (before(1) == '!')
+        op = "!=", name_end = eq - 1;
     auto colon = find_outside(text.substr(0, name_end), ":");
     if (colon != std::string::npos) return std::nullopt;
     auto name = strip(text.substr(0, name_end));
@@ -165,7 +172,8 @@
             return;
         }
         if (strip(without_comment(join_lines(l.text.substr(1)))).empty()) return;
-        // Without a rule before it, a line with a tab may still be something else; Make decides by what it is.
+        // Without a rule before it, a line with a tab may still be something else; Make decides by what it
+        // is.
     }
     auto text = without_comment(join_lines(l.text));
     if (strip(text).empty()) return;
@@ -178,8 +186,7 @@
     }
     if (directive(text, l, source)) return;
     if (assignment(text, l)) return;
-    if (l.text[0] == '\t' && prefix() == "\t")
-        throw RuleError(l.at, "a recipe line before any rule");
+    if (l.text[0] == '\t' && prefix() == "\t") throw RuleError(l.at, "a recipe line before any rule");
     rule(text, l.at);
 }
 
@@ -188,7 +195,8 @@
 bool Parser::conditional(const std::string& text, const Place& at) {
     std::string rest;
     auto word = first_word(text, &rest);
-    if (auto paren = word.find('('); paren != std::string::npos && (word.starts_with("ifeq(") || word.starts_with("ifneq(")))
+    if (auto paren = word.find('(');
+        paren != std::string::npos && (word.starts_with("ifeq(") || word.starts_with("ifneq(")))
         throw RuleError(at, "expected a blank after " + word.substr(0, paren));
     if (word == "endif") {
         if (!rest.empty()) throw RuleError(at, "unexpected text after endif: " + rest);
@@ -226,7 +234,8 @@
 bool Parser::test(const std::string& word, const std::string& rest, const Place& at) {
     if (word == "ifdef" || word == "ifndef") {
         auto name = strip(expander_.expand(rest, nullptr, at));
-        if (name.empty() || words(name).size() != 1) throw RuleError(at, word + ": expected the name of a variable");
+        if (name.empty() || words(name).size() != 1)
+            throw RuleError(at, word + ": expected the name of a variable");
         const auto* v = expander_.find(name, nullptr);
         return (v && !v->value.empty()) == (word == "ifdef");
     }
@@ -293,8 +302,10 @@
             export_names(rest, true, l.at);
         }
     } else if (word == "unexport") {
-        if (rest.empty()) export_all_ = false;
-        else export_names(rest, false, l.at);
+        if (rest.empty())
+            export_all_ = false;
+        else
+            export_names(rest, false, l.at);
     } else if (word == "undefine") {
         for (auto& name : words(expander_.expand(rest, nullptr, l.at))) expander_.global().erase(name);
     } else if (word == "vpath") {
@@ -320,7 +331,8 @@
     return true;
 }
 
-void Parser::define(std::string head, Origin origin, std::optional<bool> exported, const Line& l, Source& source) {
+void Parser::define(std::string head, Origin origin, std::optional<bool> exported, const Line& l,
+                    Source& source) {
     std::string op = "=";
     for (auto* candidate : {"::=", ":=", "+=", "?=", "!=", "="})
         if (head.ends_with(candidate)) {
@@ -357,7 +369,9 @@
             std::error_code ec;
             if (!fs::exists(path, ec)) {
                 not_included_.emplace_back(f, at);
-                if (must) throw RuleError(at, f + ": there is no such file to include (one that a rule makes isn't supported)");
+                if (must)
+                    throw RuleError(
+                        at, f + ": there is no such file to include (one that a rule makes isn't supported)");
                 continue;
             }
             auto open = open_;
@@ -415,7 +429,9 @@
                 continue;
             }
         }
-        out.push_back(w.starts_with("./") && w.size() > 2 ? w.substr(w.find_first_not_of("./") == std::string::npos ? 0 : 2) : w);
+        out.push_back(w.starts_with("./") && w.size() > 2
+                          ? w.substr(w.find_first_not_of("./") == std::string::npos ? 0 : 2)
+                          : w);
     }
     return out;
 }
@@ -459,7 +475,8 @@
         }
         colon = expanded.find(':');
         if (colon == std::string::npos)
-            throw RuleError(at, "expected a rule (TARGETS : PREREQUISITES), an assignment or a directive: '" + strip(text) + "'");
+            throw RuleError(at, "expected a rule (TARGETS : PREREQUISITES), an assignment or a directive: '" +
+                                    strip(text) + "'");
         take_colon(expanded, colon);
     } else {
         take_colon(text, colon);
@@ -471,10 +488,14 @@
         std::string further;
         for (;;) {
             head = first_word(body, &further);
-            if (head == "export") exported = true;
-            else if (head == "override") override_ = true;
-            else if (head == "private") throw RuleError(at, "private isn't supported");
-            else break;
+            if (head == "export")
+                exported = true;
+            else if (head == "override")
+                override_ = true;
+            else if (head == "private")
+                throw RuleError(at, "private isn't supported");
+            else
+                break;
             if (!as_assignment(further, at)) break;
             body = further;
         }
@@ -487,8 +508,10 @@
             a->exported = exported;
             a->override_ = override_;
             for (auto& t : prerequisites(left)) {
-                if (t.find('%') != std::string::npos) book_.pattern_variables.emplace_back(t, *a);
-                else book_.target_variables[t].push_back(*a);
+                if (t.find('%') != std::string::npos)
+                    book_.pattern_variables.emplace_back(t, *a);
+                else
+                    book_.target_variables[t].push_back(*a);
             }
             return;
         }
@@ -524,7 +547,8 @@
     if (colon != std::string::npos) {
         auto pattern_text = strip(rest.substr(0, colon));
         if (words(pattern_text).size() != 1 || pattern_text.find('%') == std::string::npos)
-            throw RuleError(at, "a static pattern rule has one target pattern with a %, not '" + pattern_text + "'");
+            throw RuleError(
+                at, "a static pattern rule has one target pattern with a %, not '" + pattern_text + "'");
         Pattern pattern(pattern_text);
         split_order(rest.substr(colon + 1), prereqs, order_only);
         auto fill = [](const std::vector<std::string>& list, const std::string& stem) {
@@ -536,17 +560,24 @@
         for (auto& t : targets) {
             std::string stem;
             if (!pattern.match(t, &stem))
-                throw RuleError(at, "the target '" + t + "' doesn't match the pattern '" + pattern_text + "'");
-            auto r = std::make_shared<Rule>(Rule{{t}, fill(prereqs, stem), fill(order_only, stem),
-                                                 kind.find("::") != std::string::npos, false, open_, stem, at});
+                throw RuleError(at,
+                                "the target '" + t + "' doesn't match the pattern '" + pattern_text + "'");
+            auto r = std::make_shared<Rule>(Rule{{t},
+                                                 fill(prereqs, stem),
+                                                 fill(order_only, stem),
+                                                 kind.find("::") != std::string::npos,
+                                                 false,
+                                                 open_,
+                                                 stem,
+                                                 at});
             book_.rules.push_back(r);
         }
         if (book_.first_target.empty() && !built_in_) book_.first_target = targets.front();
         return;
     }
     split_order(rest, prereqs, order_only);
-    bool any_percent = std::any_of(targets.begin(), targets.end(),
-                                   [](auto& t) { return Pattern(t).has_percent; });
+    bool any_percent =
+        std::any_of(targets.begin(), targets.end(), [](auto& t) { return Pattern(t).has_percent; });
     if (any_percent) {
         if (!std::all_of(targets.begin(), targets.end(), [](auto& t) { return Pattern(t).has_percent; }))
             throw RuleError(at, "patterns and plain targets in one rule");
@@ -554,14 +585,16 @@
         return;
     }
     if (targets.size() == 1 && suffix_rule(targets[0], prereqs, at)) return;
-    static const std::set<std::string> unsupported{".SECONDEXPANSION", ".DEFAULT", ".LOW_RESOLUTION_TIME", ".LIBPATTERNS"};
+    static const std::set<std::string> unsupported{".SECONDEXPANSION", ".DEFAULT", ".LOW_RESOLUTION_TIME",
+                                                   ".LIBPATTERNS"};
     for (auto& t : targets)
         if (unsupported.contains(t)) throw RuleError(at, t + " isn't supported");
     if (targets.size() == 1 && targets[0] == ".SUFFIXES") {
-        if (prereqs.empty()) suffixes_.clear();
-        else suffixes_.insert(suffixes_.end(), prereqs.begin(), prereqs.end());
         if (prereqs.empty())
-            std::erase_if(book_.patterns, [](auto& p) { return p.built_in; });
+            suffixes_.clear();
+        else
+            suffixes_.insert(suffixes_.end(), prereqs.begin(), prereqs.end());
+        if (prereqs.empty()) std::erase_if(book_.patterns, [](auto& p) { return p.built_in; });
         return;
     }
     const bool grouped = kind.starts_with('&');
@@ -584,16 +617,21 @@
 
 void Parser::add_pattern(std::vector<std::string> targets, std::vector<std::string> prereqs,
                          std::vector<std::string> order_only, bool terminal, const Place& at) {
-    PatternRule p{std::move(targets), std::move(prereqs), std::move(order_only), terminal, built_in_, open_, at};
+    PatternRule p{
+        std::move(targets), std::move(prereqs), std::move(order_only), terminal, built_in_, open_, at};
     // The same targets and prerequisites again take the place of what was said before.
     std::erase_if(book_.patterns, [&](auto& o) { return o.targets == p.targets && o.prereqs == p.prereqs; });
     book_.patterns.push_back(std::move(p));
 }
 
 // `.c.o:` is `%.o: %.c`, and `.sh:` is `%: %.sh`, if these are suffixes.
-bool Parser::suffix_rule(const std::string& target, const std::vector<std::string>& prereqs, const Place& at) {
-    if (!prereqs.empty() || target.empty() || target[0] != '.' || target.find('/') != std::string::npos) return false;
-    auto known = [&](const std::string& s) { return std::find(suffixes_.begin(), suffixes_.end(), s) != suffixes_.end(); };
+bool Parser::suffix_rule(const std::string& target, const std::vector<std::string>& prereqs,
+                         const Place& at) {
+    if (!prereqs.empty() || target.empty() || target[0] != '.' || target.find('/') != std::string::npos)
+        return false;
+    auto known = [&](const std::string& s) {
+        return std::find(suffixes_.begin(), suffixes_.end(), s) != suffixes_.end();
+    };
     if (known(target)) {
         add_pattern({"%"}, {"%" + target}, {}, false, at);
         return true;
--- a/src/workflow/make/parse.hpp
+++ b/src/workflow/make/parse.hpp
@@ -102,7 +102,8 @@
     std::vector<Condition> conditions_;
     std::shared_ptr<Recipe> open_;  // lines with a tab go here
     bool rule_open_ = false, export_all_ = false, built_in_ = false;
-    std::vector<std::string> suffixes_{".c", ".cc", ".cpp", ".C", ".o", ".s", ".S", ".sh", ".f", ".y", ".l", ".p", ".r"};
+    std::vector<std::string> suffixes_{".c",  ".cc", ".cpp", ".C", ".o", ".s", ".S",
+                                       ".sh", ".f",  ".y",   ".l", ".p", ".r"};
     std::vector<std::pair<std::string, Place>> not_included_;
     std::vector<std::string> including_;
 };
--- a/src/workflow/make/resolve.cpp
+++ b/src/workflow/make/resolve.cpp
@@ -12,24 +12,26 @@
 constexpr int longest_chain = 12;
 
 const std::set<std::string>& special_names() {
-    static const std::set<std::string> names{".PHONY", ".PRECIOUS", ".INTERMEDIATE", ".SECONDARY", ".DELETE_ON_ERROR",
-                                             ".IGNORE", ".SILENT", ".EXPORT_ALL_VARIABLES", ".NOTPARALLEL", ".ONESHELL",
-                                             ".POSIX", ".SUFFIXES"};
+    static const std::set<std::string> names{
+        ".PHONY",           ".PRECIOUS", ".INTERMEDIATE", ".SECONDARY",
+        ".DELETE_ON_ERROR", ".IGNORE",   ".SILENT",       ".EXPORT_ALL_VARIABLES",
+        ".NOTPARALLEL",     ".ONESHELL", ".POSIX",        ".SUFFIXES"};
     return names;
 }
 
 const std::set<std::string>& known_suffixes() {
     static const std::set<std::string> suffixes{
-        ".out", ".a",   ".ln",  ".o",   ".c",    ".cc",   ".C",       ".cpp",  ".p",      ".f",  ".F",  ".m",
-        ".r",   ".y",   ".l",   ".ym",  ".yl",   ".s",    ".S",       ".mod",  ".sym",    ".def", ".h",  ".info",
-        ".dvi", ".tex", ".texinfo", ".texi", ".txinfo", ".w", ".ch", ".web", ".sh", ".elc", ".el"};
+        ".out", ".a",   ".ln",      ".o",    ".c",      ".cc", ".C",  ".cpp", ".p",   ".f",   ".F", ".m",
+        ".r",   ".y",   ".l",       ".ym",   ".yl",     ".s",  ".S",  ".mod", ".sym", ".def", ".h", ".info",
+        ".dvi", ".tex", ".texinfo", ".texi", ".txinfo", ".w",  ".ch", ".web", ".sh",  ".elc", ".el"};
     return suffixes;
 }
 
-// Suffixes that Make's own rules know and that aren't built in here: passed over, a file would not be made that
-// Make makes.
-const char* foreign_suffixes[] = {".f", ".F", ".r", ".y", ".l", ".p", ".m", ".mod", ".sym", ".def", ".tex",
-                                  ".texinfo", ".texi", ".txinfo", ".w", ".web", ".cweb", ".ch", ".S", ".dvi"};
+// Suffixes that Make's own rules know and that aren't built in here: passed over, a file would not be made
+// that Make makes.
+const char* foreign_suffixes[] = {".f",   ".F",   ".r",    ".y",   ".l",       ".p",    ".m",
+                                  ".mod", ".sym", ".def",  ".tex", ".texinfo", ".texi", ".txinfo",
+                                  ".w",   ".web", ".cweb", ".ch",  ".S",       ".dvi"};
 }  // namespace
 
 bool Resolver::exists(const std::string& name) const {
@@ -92,7 +94,8 @@
         std::string stem;
         if (Pattern(pattern).match(name, &stem)) by_pattern.emplace_back(stem.size(), &a);
     }
-    std::stable_sort(by_pattern.begin(), by_pattern.end(), [](auto& x, auto& y) { return x.first > y.first; });
+    std::stable_sort(by_pattern.begin(), by_pattern.end(),
+                     [](auto& x, auto& y) { return x.first > y.first; });
     for (auto& [n, a] : by_pattern) own.push_back(a);
     if (auto it = book_.target_variables.find(name); it != book_.target_variables.end())
         for (auto& a : it->second) own.push_back(&a);
@@ -188,8 +191,8 @@
             if (r->double_colon) throw RuleError(r->at, name + " has both : and :: rules");
             if (r->recipe->given) {
                 if (with_recipe && with_recipe->recipe != r->recipe)
-                    graph_.warnings.push_back(r->at.str() + ": the recipe for '" + name + "' takes the place of the one at " +
-                                              with_recipe->at.str());
+                    graph_.warnings.push_back(r->at.str() + ": the recipe for '" + name +
+                                              "' takes the place of the one at " + with_recipe->at.str());
                 with_recipe = r;
             }
         }
@@ -211,8 +214,9 @@
         }
     }
     // An empty recipe, as in `x: ;`, keeps implicit rules away.
-    bool empty_recipe = target && std::any_of(target->rules.begin(), target->rules.end(),
-                                              [](auto& r) { return r->recipe->given && r->recipe->lines.empty(); });
+    bool empty_recipe = target && std::any_of(target->rules.begin(), target->rules.end(), [](auto& r) {
+                            return r->recipe->given && r->recipe->lines.empty();
+                        });
     if (!making.recipe && !phony && !empty_recipe) {
         if (auto c = chained_.find(name); c != chained_.end()) found = c->second;
         if (!found) {
@@ -225,7 +229,8 @@
             std::vector<std::string> all = found->prereqs;
             all.insert(all.end(), making.prereqs.begin(), making.prereqs.end());
             making.prereqs = std::move(all);
-            making.order_only.insert(making.order_only.end(), found->order_only.begin(), found->order_only.end());
+            making.order_only.insert(making.order_only.end(), found->order_only.begin(),
+                                     found->order_only.end());
             node.place = found->rule->at;
             others = found->also;
             for (auto& [passing, how] : found->passing) chained_.emplace(passing, how);
@@ -321,7 +326,8 @@
 }
 
 // Rules with `::` are independent of one another, and run in their order.
-NodeId Resolver::double_colon(const std::string& name, const Target& target, const std::shared_ptr<Scope>& parent) {
+NodeId Resolver::double_colon(const std::string& name, const Target& target,
+                              const std::shared_ptr<Scope>& parent) {
     std::optional<NodeId> before, first;
     auto scope = scope_for(name, parent);
     for (auto& r : target.rules) {
@@ -342,8 +348,10 @@
         m.order_only = r->order_only;
         auto id = add(std::move(node));
         fill(id, std::move(m), scope);
-        if (before) graph_.nodes[id].needs.push_back({*before, true});
-        else first = id;
+        if (before)
+            graph_.nodes[id].needs.push_back({*before, true});
+        else
+            first = id;
         graph_.nodes[id].judged_with = first;
         before = id;
     }
@@ -355,17 +363,19 @@
 // A file that Make would make again by a rule of its own that isn't built in here is no plain file.
 void Resolver::refuse_foreign(const std::string& name) const {
     static const std::multimap<std::string, std::string> made_from{
-        {".c", ".y"},  {".c", ".l"},  {".c", ".w"},  {".o", ".f"},   {".o", ".F"},   {".o", ".p"},
-        {".o", ".r"},  {".o", ".y"},  {".o", ".l"},  {".o", ".S"},   {".o", ".m"},   {".o", ".mod"},
-        {".s", ".S"},  {".r", ".l"},  {".f", ".F"},  {".f", ".r"},   {".dvi", ".tex"}, {".tex", ".w"},
-        {".tex", ".web"}, {".p", ".web"}, {".info", ".texi"}, {".info", ".texinfo"}, {".elc", ".el"}};
+        {".c", ".y"},       {".c", ".l"},          {".c", ".w"},   {".o", ".f"},     {".o", ".F"},
+        {".o", ".p"},       {".o", ".r"},          {".o", ".y"},   {".o", ".l"},     {".o", ".S"},
+        {".o", ".m"},       {".o", ".mod"},        {".s", ".S"},   {".r", ".l"},     {".f", ".F"},
+        {".f", ".r"},       {".dvi", ".tex"},      {".tex", ".w"}, {".tex", ".web"}, {".p", ".web"},
+        {".info", ".texi"}, {".info", ".texinfo"}, {".elc", ".el"}};
     if (!built_in_) return;
     auto suffix = suffix_part(name);
     auto [first, last] = made_from.equal_range(suffix);
     for (auto it = first; it != last; ++it)
         if (auto from = basename_part(name) + it->second; exists(from))
-            throw RuleError("Make would make '" + name + "' from '" + from +
-                            "' by a built-in rule that isn't supported here: write the rule, or MAKEFLAGS += -r");
+            throw RuleError(
+                "Make would make '" + name + "' from '" + from +
+                "' by a built-in rule that isn't supported here: write the rule, or MAKEFLAGS += -r");
 }
 
 // ---- implicit rules ------------------------------------------------------------------------------------
@@ -407,8 +417,10 @@
     for (auto& p : rule.prereqs) {
         auto full = filled(p);
         // Of the rule's own text: a name to the letter counts as mentioned.
-        if (!there(full, true) && Pattern(p).has_percent) good = false;
-        else if (!Pattern(p).has_percent && !there(full, true)) good = false;
+        if (!there(full, true) && Pattern(p).has_percent)
+            good = false;
+        else if (!Pattern(p).has_percent && !there(full, true))
+            good = false;
         if (!good) break;
         f.prereqs.push_back(full);
     }
@@ -443,11 +455,10 @@
             break;
         }
     }
-    // A rule for anything is no rule for a file that a pattern of its own speaks of, unless it is terminal; nor
-    // is it one on the way to something else.
-    std::erase_if(candidates, [&](auto& c) {
-        return c.anything && !c.rule->terminal && (specific || depth > 0);
-    });
+    // A rule for anything is no rule for a file that a pattern of its own speaks of, unless it is terminal;
+    // nor is it one on the way to something else.
+    std::erase_if(candidates,
+                  [&](auto& c) { return c.anything && !c.rule->terminal && (specific || depth > 0); });
     std::stable_sort(candidates.begin(), candidates.end(), [](auto& a, auto& b) { return a.stem < b.stem; });
     for (bool chain : {false, true})
         for (auto& c : candidates)
--- a/src/workflow/make/resolve.hpp
+++ b/src/workflow/make/resolve.hpp
@@ -34,11 +34,12 @@
         const PatternRule* rule = nullptr;
         std::string stem, dir;
         std::vector<std::string> prereqs, order_only;
-        std::vector<std::string> also;                          // other targets it makes
-        std::vector<std::pair<std::string, Found>> passing;     // files on the way, and how they are made
+        std::vector<std::string> also;                       // other targets it makes
+        std::vector<std::pair<std::string, Found>> passing;  // files on the way, and how they are made
     };
     void index();
-    NodeId need(const std::string& name, const std::shared_ptr<Scope>& parent, const std::string& user, const Place& at);
+    NodeId need(const std::string& name, const std::shared_ptr<Scope>& parent, const std::string& user,
+                const Place& at);
     NodeId plain_file(const std::string& name, const std::string& shown);
     NodeId make_node(const std::string& name, const std::shared_ptr<Scope>& parent, const Place& at,
                      const std::string& user);
--- a/src/workflow/make/text.cpp
+++ b/src/workflow/make/text.cpp
@@ -132,9 +132,12 @@
             continue;
         }
         if (!open.empty()) {
-            if (c == open.back()) open.pop_back();
-            else if (c == '(' && open.back() == ')') open.push_back(')');
-            else if (c == '{' && open.back() == '}') open.push_back('}');
+            if (c == open.back())
+                open.pop_back();
+            else if (c == '(' && open.back() == ')')
+                open.push_back(')');
+            else if (c == '{' && open.back() == '}')
+                open.push_back('}');
             continue;
         }
         if (c == '\\' && i + 1 < text.size() && characters.find(text[i + 1]) != std::string_view::npos &&
--- a/src/workflow/make/text.hpp
+++ b/src/workflow/make/text.hpp
@@ -22,7 +22,7 @@
 // Replaces by patterns, as $(patsubst) does for one word.
 std::string patsubst(const Pattern& from, const std::string& to, const std::string& word);
 
-std::string dir_part(const std::string& name);     // up to the last slash, with it; "./" if there is none
+std::string dir_part(const std::string& name);  // up to the last slash, with it; "./" if there is none
 std::string notdir_part(const std::string& name);
 std::string suffix_part(const std::string& name);  // from the last dot of the last component
 std::string basename_part(const std::string& name);
--- a/src/workflow/snakemake/snakefile.cpp
+++ b/src/workflow/snakemake/snakefile.cpp
@@ -1,8 +1,7 @@
 #define PY_SSIZE_T_CLEAN
-#include <Python.h>
-
 #include "workflow/snakemake/snakefile.hpp"
 
+#include <Python.h>
 #include <yaml-cpp/yaml.h>
 
 #include <cmath>
@@ -24,7 +23,9 @@
     bool b;
     if (YAML::convert<bool>::decode(n, b)) return b;
     std::int64_t i;
-    if (text.find_first_not_of("+-0123456789") == std::string::npos && YAML::convert<std::int64_t>::decode(n, i)) return i;
+    if (text.find_first_not_of("+-0123456789") == std::string::npos &&
+        YAML::convert<std::int64_t>::decode(n, i))
+        return i;
     double d;
     if (YAML::convert<double>::decode(n, d) && std::isfinite(d)) return d;
     return text;
@@ -33,7 +34,8 @@
 json to_json(const YAML::Node& n, int depth = 0) {
     if (depth > 100) throw std::runtime_error("nested deeper than 100");
     switch (n.Type()) {
-        case YAML::NodeType::Scalar: return scalar(n);
+        case YAML::NodeType::Scalar:
+            return scalar(n);
         case YAML::NodeType::Sequence: {
             json out = json::array();
             for (auto& v : n) out.push_back(to_json(v, depth + 1));
@@ -44,7 +46,8 @@
             for (auto& kv : n) out[kv.first.Scalar()] = to_json(kv.second, depth + 1);
             return out;
         }
-        default: return nullptr;
+        default:
+            return nullptr;
     }
 }
 
@@ -74,7 +77,8 @@
 PyMethodDef methods[] = {{"yaml", yaml_file, METH_VARARGS, "A YAML or JSON file, as JSON."},
                          {"yaml_text", yaml_text, METH_VARARGS, "A YAML text, as JSON."},
                          {nullptr, nullptr, 0, nullptr}};
-PyModuleDef module_def = {PyModuleDef_HEAD_INIT, "barrowrun_reader", nullptr, -1, methods, nullptr, nullptr, nullptr, nullptr};
+PyModuleDef module_def = {
+    PyModuleDef_HEAD_INIT, "barrowrun_reader", nullptr, -1, methods, nullptr, nullptr, nullptr, nullptr};
 PyObject* make_module() {
     return PyModule_Create(&module_def);
 }
@@ -107,7 +111,8 @@
     config.write_bytecode = 0;
     auto status = Py_InitializeFromConfig(&config);
     PyConfig_Clear(&config);
-    if (PyStatus_Exception(status)) throw RuleError(std::string("no Python: ") + (status.err_msg ? status.err_msg : ""));
+    if (PyStatus_Exception(status))
+        throw RuleError(std::string("no Python: ") + (status.err_msg ? status.err_msg : ""));
 }
 
 std::string ask(const std::string& request) {
@@ -120,7 +125,8 @@
     PyDict_SetItemString(names, "barrowrun_reader", reader.p);
     Owned ran(PyEval_EvalCode(code.p, names, names));
     PyObject* function = PyDict_GetItemString(names, "read_safely");
-    Owned argument(PyUnicode_DecodeUTF8(request.data(), static_cast<Py_ssize_t>(request.size()), "surrogateescape"));
+    Owned argument(
+        PyUnicode_DecodeUTF8(request.data(), static_cast<Py_ssize_t>(request.size()), "surrogateescape"));
     Owned answer(PyObject_CallFunctionObjArgs(function, argument.p, nullptr));
     Owned encoded(PyUnicode_AsEncodedString(answer.p, "utf-8", "surrogateescape"));
     return std::string(PyBytes_AsString(encoded.p), static_cast<std::size_t>(PyBytes_Size(encoded.p)));
@@ -129,7 +135,8 @@
 double amount(const json& resources, const char* name, double otherwise, const Place& at) {
     auto it = resources.find(name);
     if (it == resources.end()) return otherwise;
-    if (!it->is_number() || it->get<double>() < 0) throw RuleError(at, std::string("resources: ") + name + ": expected a number");
+    if (!it->is_number() || it->get<double>() < 0)
+        throw RuleError(at, std::string("resources: ") + name + ": expected a number");
     return it->get<double>();
 }
 
@@ -151,10 +158,12 @@
     std::string file = options.file;
     if (file.empty()) {
         for (auto* name : {"Snakefile", "workflow/Snakefile"})
-            if (file.empty() && std::filesystem::exists(std::filesystem::path(options.dir) / name)) file = name;
+            if (file.empty() && std::filesystem::exists(std::filesystem::path(options.dir) / name))
+                file = name;
         if (file.empty()) throw RuleError("no Snakefile in " + options.dir + " (and none named by -s)");
     }
-    json request{{"dir", options.dir}, {"file", file}, {"targets", options.targets}, {"config", options.config}};
+    json request{
+        {"dir", options.dir}, {"file", file}, {"targets", options.targets}, {"config", options.config}};
     auto answer = ask(request.dump(-1, ' ', false, json::error_handler_t::replace));
     if (answer.empty() || answer[0] != '+') throw RuleError(answer.empty() ? "no answer" : answer.substr(1));
     auto read = json::parse(answer.substr(1));
@@ -186,18 +195,23 @@
         w.must_produce = w.fresh_outputs = true;
         const auto& r = j.at("resources");
         w.need.cpus = j.at("threads");
-        w.need.gpus = amount(r, "gpus", amount(r, "gpu", amount(r, "nvidia_gpu", 0, n.place), n.place), n.place);
+        w.need.gpus =
+            amount(r, "gpus", amount(r, "gpu", amount(r, "nvidia_gpu", 0, n.place), n.place), n.place);
         w.limit_memory = r.contains("mem_mb") || r.contains("mem_gb");
         w.need.mem_gb = amount(r, "mem_gb", amount(r, "mem_mb", 256, n.place) / 1024, n.place);
         w.estimate_s = amount(r, "runtime", 1.0 / 6, n.place) * 60;
         if (r.contains("barrow_class")) w.job_class = r["barrow_class"].get<std::string>();
         if (r.contains("barrow_rank")) {
-            auto rank = r["barrow_rank"].is_string() ? wire::priority_of(r["barrow_rank"].get<std::string>()) : std::nullopt;
-            if (!rank) throw RuleError(n.place, "resources: barrow_rank: expected production, urgent, normal or low");
+            auto rank = r["barrow_rank"].is_string() ? wire::priority_of(r["barrow_rank"].get<std::string>())
+                                                     : std::nullopt;
+            if (!rank)
+                throw RuleError(n.place,
+                                "resources: barrow_rank: expected production, urgent, normal or low");
             w.rank = *rank;
         }
         if (!j.at("retries").is_number_unsigned() || j.at("retries") > wire::max_retries)
-            throw RuleError(n.place, "retries: expected a number from 0 to " + std::to_string(wire::max_retries));
+            throw RuleError(n.place,
+                            "retries: expected a number from 0 to " + std::to_string(wire::max_retries));
         w.retries = j.at("retries");
         auto id = static_cast<NodeId>(graph_.nodes.size());
         for (auto& o : n.outputs) graph_.by_output[o] = id;
--- a/src/workflow/snakemake/snakefile.hpp
+++ b/src/workflow/snakemake/snakefile.hpp
@@ -1,5 +1,6 @@
 #pragma once
-// A Snakefile as rules of a flow. Its Python is run by an embedded interpreter; what becomes of its rules is ours.
+// A Snakefile as rules of a flow. Its Python is run by an embedded interpreter; what becomes of its rules is
+// ours.
 #include "workflow/graph.hpp"
 
 namespace barrowrun::workflow::snakemake {
--- a/tests/driver_test.cpp
+++ b/tests/driver_test.cpp
@@ -1,8 +1,9 @@
 // The driver of a flow against a scripted site: what is on record when, and what a successor makes of it.
+#include "workflow/driver.hpp"
+
 #include <gtest/gtest.h>
 
 #include "temp_dir.hpp"
-#include "workflow/driver.hpp"
 
 using namespace barrowrun;
 using namespace barrowrun::workflow;
--- a/tests/flow_test.cpp
+++ b/tests/flow_test.cpp
@@ -1,8 +1,8 @@
 // The decisions of a flow, step by step.
-#include <gtest/gtest.h>
-
 #include "workflow/flow.hpp"
 
+#include <gtest/gtest.h>
+
 using namespace barrowrun;
 using namespace barrowrun::workflow;
 
@@ -39,8 +39,10 @@
         Facts f;
         for (auto& o : g.nodes[n].outputs) {
             auto it = files.find(o);
-            if (it == files.end()) f.missing = true;
-            else f.oldest = f.newest = it->second;
+            if (it == files.end())
+                f.missing = true;
+            else
+                f.oldest = f.newest = it->second;
         }
         return f;
     }
@@ -110,7 +112,8 @@
 TEST(Flow, AFailureStopsItsUsersAndWithoutKeepGoingAllElse) {
     for (bool keep : {false, true}) {
         World w;
-        auto bad = w.add("bad", {}), after = w.add("after", {bad}), one = w.add("one", {}), two = w.add("two", {one});
+        auto bad = w.add("bad", {}), after = w.add("after", {bad}), one = w.add("one", {}),
+             two = w.add("two", {one});
         FlowOptions o;
         o.keep_going = keep;
         w.begin({after, two}, o);
--- /dev/null
+++ b/tests/fuzz/untrusted.cpp
@@ -0,0 +1,57 @@
+// What comes over the network or in files of others, byte by byte as it may come. With clang:
+//   clang++ -std=c++20 -g -fsanitize=fuzzer,address,undefined -Isrc tests/fuzz/untrusted.cpp src/wire/*.cpp
+//     src/depot/*.cpp src/lab/state_store.cpp src/store/*.cpp src/state/records.cpp -lsqlite3 -lxxhash
+// Built by CI with a driver of its own, which plays a fixed number of changed messages.
+#include <cstddef>
+#include <cstdint>
+#include <cstdlib>
+#include <string>
+
+#include "depot/depot.hpp"
+#include "lab/state_store.hpp"
+#include "state/records.hpp"
+#include "wire/messages.hpp"
+#include "wire/submission.hpp"
+
+using namespace barrowrun;
+
+namespace {
+
+lab::StateStore& state_store() {
+    static lab::StateStore s(":memory:", {}, TimePoint{} + std::chrono::seconds(1));
+    return s;
+}
+
+}  // namespace
+
+extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t* data, std::size_t size) {
+    auto body = wire::decode(std::string_view(reinterpret_cast<const char*>(data), size));
+    if (!body) return 0;
+    // What is read is written back as the same.
+    if (auto commands = wire::parse_commands(*body)) {
+        auto again = wire::parse_commands(wire::report_answer(1, *commands));
+        if (!again || again->size() != commands->size()) std::abort();
+    }
+    if (auto report = wire::parse_report(*body))
+        if (!wire::parse_report(wire::report_json(*report))) std::abort();
+    auto job = wire::parse_submission(*body);
+    if (auto* spec = std::get_if<wire::JobSpec>(&job))
+        if (!std::holds_alternative<wire::JobSpec>(wire::parse_submission(wire::submission_json(*spec))))
+            std::abort();
+    if (auto status = wire::parse_status(*body))
+        if (!wire::parse_status(wire::status_json(*status))) std::abort();
+    wire::parse_rent(*body);
+    wire::parse_machine_list(*body);
+    if (auto p = state::parse_progress(*body, 50))
+        if (!state::parse_progress(state::to_json(*p, 50), 50)) std::abort();
+    state::parse_past(*body);
+    state::parse_sheet(*body);
+    try {
+        depot::parse_description(*body);
+    } catch (const std::exception&) {
+        // one line that names what is wrong
+    }
+    auto answer = state_store().multi(*body, size);
+    if (answer.status != 200 && answer.status != 400 && answer.status != 409) std::abort();
+    return 0;
+}
--- a/tests/make_test.cpp
+++ b/tests/make_test.cpp
@@ -1,5 +1,5 @@
-// Makefiles as they are read: what isn't supported is said with its place, and nothing is misread. What the rules
-// come to when they run is compared with plain make by tests/rules.
+// Makefiles as they are read: what isn't supported is said with its place, and nothing is misread. What the
+// rules come to when they run is compared with plain make by tests/rules.
 #include <gtest/gtest.h>
 
 #include "temp_dir.hpp"
@@ -16,10 +16,12 @@
     TempDir dir;
     std::vector<std::string> said;
     std::unique_ptr<Makefile> m;
-    void read(const std::string& text, std::vector<std::string> goals = {}, std::vector<std::string> variables = {}) {
+    void read(const std::string& text, std::vector<std::string> goals = {},
+              std::vector<std::string> variables = {}) {
         dir.write("Makefile", text);
-        m = std::make_unique<Makefile>(make::MakeOptions{dir.str(), "", std::move(goals), std::move(variables),
-                                                         [this](const std::string& s) { said.push_back(s); }});
+        m = std::make_unique<Makefile>(
+            make::MakeOptions{dir.str(), "", std::move(goals), std::move(variables),
+                              [this](const std::string& s) { said.push_back(s); }});
     }
     std::string error(const std::string& text, std::vector<std::string> goals = {}) {
         try {
@@ -71,19 +73,24 @@
         {"", "no targets"},
         {"x: $(word 0,a)\n", "words are counted from 1"},
     };
-    for (auto& c : cases) EXPECT_NE(r.error(c.text).find(c.error), std::string::npos) << c.text << "-> " << r.error(c.text);
+    for (auto& c : cases)
+        EXPECT_NE(r.error(c.text).find(c.error), std::string::npos) << c.text << "-> " << r.error(c.text);
 }
 
 TEST(Make, ErrorsInRecipesAreSaidBeforeTheyRun) {
     Reader r;
-    EXPECT_NE(r.error("x: BARROW_CPUS = many\nx:\n\ttrue\n").find("Makefile:2: BARROW_CPUS: expected a number"), std::string::npos);
+    EXPECT_NE(
+        r.error("x: BARROW_CPUS = many\nx:\n\ttrue\n").find("Makefile:2: BARROW_CPUS: expected a number"),
+        std::string::npos);
     EXPECT_NE(r.error("x: BARROW_RANK = first\nx:\n\ttrue\n").find("expected production"), std::string::npos);
 }
 
 TEST(Make, ResourcesComeFromTargetsVariables) {
     Reader r;
-    r.read("BARROW_CLASS = manuals\nx: BARROW_CPUS = 3\nx: BARROW_MEM_GB := 1.5\nx: BARROW_RETRIES = 2\nx: BARROW_RANK = "
-           "low\nx: y\n\ttrue\ny:\n\ttrue\n");
+    r.read(
+        "BARROW_CLASS = manuals\nx: BARROW_CPUS = 3\nx: BARROW_MEM_GB := 1.5\nx: BARROW_RETRIES = 2\nx: "
+        "BARROW_RANK = "
+        "low\nx: y\n\ttrue\ny:\n\ttrue\n");
     auto w = r.work("x");
     EXPECT_EQ(w.need.cpus, 3);
     EXPECT_EQ(w.need.mem_gb, 1.5);
@@ -98,7 +105,9 @@
 TEST(Make, RecipesExpandWithAutomaticVariables) {
     Reader r;
     r.dir.write("src/a.x", "");
-    r.read("all: out/a.y\nout/%.y: src/%.x | dir\n\t@cp $< $@ # $* $(@D) $(@F) $|\n\t-echo $$HOME\ndir:\n\tmkdir dir\n");
+    r.read(
+        "all: out/a.y\nout/%.y: src/%.x | dir\n\t@cp $< $@ # $* $(@D) $(@F) $|\n\t-echo "
+        "$$HOME\ndir:\n\tmkdir dir\n");
     EXPECT_EQ(r.steps("out/a.y"), (Reader::Names{"cp src/a.x out/a.y # a out a.y dir", "echo $HOME"}));
     auto w = r.work("out/a.y");
     EXPECT_FALSE(w.steps[0].echo);
@@ -137,7 +146,8 @@
 TEST(Make, IncludedFilesThatRulesMakeAreRefused) {
     Reader r;
     r.dir.write("x.c", "");
-    EXPECT_NE(r.error("-include x.d\nall: x.c\n%.d: %.c\n\ttouch $@\n").find("would be made by a rule before it is included"),
+    EXPECT_NE(r.error("-include x.d\nall: x.c\n%.d: %.c\n\ttouch $@\n")
+                  .find("would be made by a rule before it is included"),
               std::string::npos);
     EXPECT_EQ(r.error("-include nothing.d\nall: x.c\n"), "");
 }
@@ -147,13 +157,15 @@
     r.read("x:\n\techo 1\nx:\n\techo 2\n");
     EXPECT_EQ(r.steps("x"), Reader::Names{"echo 2"});
     ASSERT_EQ(r.m->graph().warnings.size(), 1u);
-    EXPECT_NE(r.m->graph().warnings[0].find("Makefile:3: the recipe for 'x' takes the place of the one at Makefile:1"),
+    EXPECT_NE(r.m->graph().warnings[0].find(
+                  "Makefile:3: the recipe for 'x' takes the place of the one at Makefile:1"),
               std::string::npos);
 }
 
 TEST(Make, VariablesOfTheCommandLineGoFirstAndAreExported) {
     Reader r;
-    r.read("A = file\noverride B = own\nC = file\nexport C\nx:\n\techo $(A) $(B)\n", {}, {"A=given", "B=given"});
+    r.read("A = file\noverride B = own\nC = file\nexport C\nx:\n\techo $(A) $(B)\n", {},
+           {"A=given", "B=given"});
     EXPECT_EQ(r.steps("x"), Reader::Names{"echo given own"});
     auto env = r.work("x").env;
     EXPECT_EQ(env.at("A"), "given");
@@ -162,7 +174,9 @@
 
 TEST(Make, EvalInALoopMakesRules) {
     Reader r;
-    r.read("define rule\n$(1): $(2)\n\techo $$@ from $(2)\nendef\nall: p q\n$(eval $(call rule,p,q))\n$(eval $(call rule,q,))\n");
+    r.read(
+        "define rule\n$(1): $(2)\n\techo $$@ from $(2)\nendef\nall: p q\n$(eval $(call rule,p,q))\n$(eval "
+        "$(call rule,q,))\n");
     EXPECT_EQ(r.steps("p"), Reader::Names{"echo p from q"});
     EXPECT_EQ(r.needs("p"), Reader::Names{"q"});
 }
@@ -176,7 +190,8 @@
 // Whatever a Makefile says, reading it ends with a graph or with one line.
 TEST(Make, BrokenTextNeverDoesWorse) {
     const std::string seed =
-        "A := $(subst a,b,$(wildcard *))\ndefine D\nx\nendef\nifdef A\nall: x$(A) | y\n\t@echo $@ $(D)\nelse\nz:: ; q\nendif\n%.o: "
+        "A := $(subst a,b,$(wildcard *))\ndefine D\nx\nendef\nifdef A\nall: x$(A) | y\n\t@echo $@ "
+        "$(D)\nelse\nz:: ; q\nendif\n%.o: "
         "%.c\n\tcc \\\n\t-o $@\n-include m\nv: B ?= 1\nexport A\n";
     std::uint64_t state = 42;
     auto random = [&](std::uint64_t n) {
@@ -189,14 +204,23 @@
         for (auto k = 1 + random(6); k > 0; --k) {
             auto at = random(text.size());
             switch (random(4)) {
-                case 0: text.erase(at, 1 + random(8)); break;
-                case 1: text.insert(at, 1, "$(){}:=\n\t#\\%,;|&@"[random(18)]); break;
-                case 2: text[at] = static_cast<char>(random(256)); break;
-                default: text.insert(at, text.substr(random(text.size()), random(20))); break;
+                case 0:
+                    text.erase(at, 1 + random(8));
+                    break;
+                case 1:
+                    text.insert(at, 1, "$(){}:=\n\t#\\%,;|&@"[random(18)]);
+                    break;
+                case 2:
+                    text[at] = static_cast<char>(random(256));
+                    break;
+                default:
+                    text.insert(at, text.substr(random(text.size()), random(20)));
+                    break;
             }
         }
         // No commands are run here.
-        for (auto at = text.find("shell"); at != std::string::npos; at = text.find("shell")) text.erase(at, 5);
+        for (auto at = text.find("shell"); at != std::string::npos; at = text.find("shell"))
+            text.erase(at, 5);
         for (auto at = text.find("!="); at != std::string::npos; at = text.find("!=")) text.erase(at, 1);
         auto why = r.error(text);
         EXPECT_EQ(why.find('\n') == std::string::npos || why.size() > 200, true) << text;
--- a/tests/retries_test.cpp
+++ b/tests/retries_test.cpp
@@ -191,7 +191,8 @@
     EXPECT_EQ(std::get<wire::JobSpec>(wire::parse_submission(body)).retries, 4u);
     body["retries"] = "many";
     EXPECT_TRUE(std::holds_alternative<std::string>(wire::parse_submission(body)));
-    wire::JobStatus status{"wk-7", wire::Standing::failed, 1, 0, wire::ErrorCount{2, wire::Failure{"wk-7/0", "n-1", 9}}};
+    wire::JobStatus status{"wk-7", wire::Standing::failed, 1, 0,
+                           wire::ErrorCount{2, wire::Failure{"wk-7/0", "n-1", 9}}};
     auto back = wire::parse_status(wire::status_json(status));
     ASSERT_TRUE(back && back->errors && back->errors->last);
     EXPECT_EQ(back->errors->last->attempt, 9u);
--- a/tests/rules/faults.sh
+++ b/tests/rules/faults.sh
@@ -46,6 +46,8 @@
 case_state_killed() { slow_rules "$work/site"; start; sleep 0.7; fault kill state; finish 0; as_make; }
 case_cloud_silent() { slow_rules "$work/site"; start; sleep 0.7; fault cut cloud --for 3; finish 0; as_make; }
 
+case_machine_recalled() { slow_rules "$work/site"; start; sleep 0.5; fault recall machine --for 1; fault recall machine --for 2; finish 0; as_make; }
+
 case_failing_rule() {
     mkdir "$work/site"
     printf 'all: good after\ngood:\n\t@sleep 0.3; echo good > $@\nbad:\n\t@echo half > $@; for i in 1 2 3; do echo line $$i; done; exit 7\nafter: bad\n\techo never > $@\n' > "$work/site/Makefile"
--- a/tests/stage_test.cpp
+++ b/tests/stage_test.cpp
@@ -1,9 +1,10 @@
 // Private directories and final answers: what may be seen of an attempt, and when.
+#include "worker/stage.hpp"
+
 #include <gtest/gtest.h>
 #include <sys/stat.h>
 
 #include "temp_dir.hpp"
-#include "worker/stage.hpp"
 
 using namespace barrowrun;
 using barrowrun::testing::TempDir;
--- a/tests/temp_dir.hpp
+++ b/tests/temp_dir.hpp
@@ -21,7 +21,9 @@
         std::error_code ec;
         std::filesystem::remove_all(path, ec);
     }
-    std::string str(const std::string& name = "") const { return name.empty() ? path.string() : (path / name).string(); }
+    std::string str(const std::string& name = "") const {
+        return name.empty() ? path.string() : (path / name).string();
+    }
     void write(const std::string& name, const std::string& content) const {
         std::filesystem::create_directories((path / name).parent_path());
         std::ofstream(path / name, std::ios::binary) << content;
@@ -32,7 +34,9 @@
         s << in.rdbuf();
         return s.str();
     }
-    bool has(const std::string& name) const { return std::filesystem::exists(std::filesystem::symlink_status(path / name)); }
+    bool has(const std::string& name) const {
+        return std::filesystem::exists(std::filesystem::symlink_status(path / name));
+    }
 };
 
 }  // namespace barrowrun::testing
--- a/tests/worker_test.cpp
+++ b/tests/worker_test.cpp
@@ -23,8 +23,11 @@
         s.need = {cpus, 0, 1};
         return s;
     }
-    static Attempt attempt(std::uint32_t index, std::uint64_t number = 7) { return {{"wk-1", index}, number}; }
-    bool push(Verb verb, const Attempt& a, double grace = 0, std::uint64_t token = 5, std::uint64_t session = 1) {
+    static Attempt attempt(std::uint32_t index, std::uint64_t number = 7) {
+        return {{"wk-1", index}, number};
+    }
+    bool push(Verb verb, const Attempt& a, double grace = 0, std::uint64_t token = 5,
+              std::uint64_t session = 1) {
         return m.commanded(token, session, {{verb, a, grace}}, now);
     }
     void run(const Attempt& a, const wire::JobSpec& s) {
