--- a/src/api/node.cpp
+++ b/src/api/node.cpp
@@ -90,6 +90,8 @@
             auto types = wire::parse_types(value.value);
             if (types && catalog_.empty()) catalog_ = *types;
         }
+        // A node that is started into an outage says what else it can't reach.
+        if (catalog_.empty() && !state_.answers(Clock::now())) co_await cloud_.look();
         if (catalog_.empty()) co_await net::sleep_for(500ms);
     }
 }
--- a/src/fleet/cloud_client.cpp
+++ b/src/fleet/cloud_client.cpp
@@ -20,6 +20,16 @@
     co_return reply;
 }
 
+Task<> CloudClient::look() {
+    boost::system::error_code ec = net::asio::error::host_not_found;
+    if (auto at = net::parse_endpoint(address_)) {
+        net::beast::tcp_stream stream(io_);
+        stream.expires_after(800ms);
+        co_await stream.async_connect(*at, net::asio::redirect_error(net::asio::use_awaitable, ec));
+    }
+    if (auto line = reach_.note(!ec, Clock::now())) spdlog::warn("{}", *line);
+}
+
 Task<std::optional<std::vector<wire::MachineType>>> CloudClient::types() {
     auto reply = co_await call(verb::get, "/flavors", std::nullopt, 3s);
     if (reply.status != 200) co_return std::nullopt;
--- a/src/lab/cloud_service.cpp
+++ b/src/lab/cloud_service.cpp
@@ -135,9 +135,10 @@
         end_machine(name);
         model_.died(name, Clock::now());
     } else if (kind == "hang") {
-        // The machine as a whole: its worker and all that it runs.
+        // The machine as a whole, its worker and all that it runs; or the worker alone, while its tasks go on.
         it->second.child->signal(SIGSTOP);
-        for (auto pid : proc::marked(machine_dir(name))) ::kill(pid, SIGSTOP);
+        if (!only_worker)
+            for (auto pid : proc::marked(machine_dir(name))) ::kill(pid, SIGSTOP);
         net::asio::co_spawn(io_, resume_later(name, secs(length)), net::asio::detached);
     } else if (kind == "recall") {
         // As a spot machine: a notice, and at its end the machine is gone.
--- a/tests/rules/faults.sh
+++ b/tests/rules/faults.sh
@@ -41,6 +41,12 @@
 case_machine_lost() { slow_rules "$work/site"; start; sleep 0.7; fault kill machine; finish 0; as_make; }
 # Past its lease of 4 s, and then it goes on, with its commands in the middle of what they did.
 case_machine_hangs() { slow_rules "$work/site"; start; sleep 0.7; fault hang machine --for 7; fault hang machine --for 6; finish 0; sleep 7; as_make; }
+# The cloud can't be asked to take it away: its lease decides, and it goes on after that.
+case_hangs_without_cloud() {
+    slow_rules "$work/site"; start; sleep 0.7
+    fault cut cloud --for 11; fault hang machine --for 8; fault hang worker --for 7; finish 0; sleep 9; as_make
+    grep -qs 'the lease has run out' "$(dirname "$BARROWRUN_DEPOT")"/machines/*/log || say "no lease ran out"
+}
 case_state_refuses() { slow_rules "$work/site"; start; sleep 0.7; fault refuse state --for 10; finish 0; as_make; }
 case_state_silent() { slow_rules "$work/site"; start; sleep 0.7; fault cut state --for 5; finish 0; as_make; }
 case_state_killed() { slow_rules "$work/site"; start; sleep 0.7; fault kill state; finish 0; as_make; }
