--- a/src/config/schema.cpp
+++ b/src/config/schema.cpp
@@ -22,12 +22,26 @@
     if (validator.validate(schema, given_adapter, &results)) return given;
     std::string path, why = "does not match the schema";
     valijson::ValidationResults::Error error;
-    // The last error is the innermost.
+    // The one that names the deepest place says what is wrong there.
+    std::size_t depth = 0;
     while (results.popError(error)) {
+        if (error.context.size() < depth || (error.context.size() == depth && depth > 0)) continue;
+        depth = error.context.size();
         path.clear();
         for (auto& part : error.context) path += part;
         why = error.description;
     }
+    // What the schema expects there, as far as it is one property of the root.
+    if (depth == 2) {
+        auto name = path.substr(path.find('[') + 1);
+        name = name.substr(0, name.find(']'));
+        auto properties = schema_json.find("properties");
+        if (properties != schema_json.end() && properties->contains(name)) {
+            auto expected = (*properties)[name];
+            expected.erase("description");
+            why += " expected " + expected.dump();
+        }
+    }
     throw ConfigError(path + ": " + why);
 }
 
--- a/src/workflow/graph.hpp
+++ b/src/workflow/graph.hpp
@@ -17,7 +17,7 @@
 struct Place {
     std::string file;
     int line = 0;
-    std::string str() const { return file + ":" + std::to_string(line); }
+    std::string str() const { return line > 0 ? file + ":" + std::to_string(line) : file; }
 };
 
 // A rule file says what can't be done, or isn't supported. `what()` is one line that begins with file:line.
