--- a/cmake/tools.cmake
+++ b/cmake/tools.cmake
@@ -42,7 +42,9 @@
   src/workflow/flow.cpp
   src/workflow/make/text.cpp
   src/workflow/make/expand.cpp
+  src/workflow/make/functions.cpp
   src/workflow/make/parse.cpp
+  src/workflow/make/rules.cpp
   src/workflow/make/resolve.cpp
   src/workflow/make/makefile.cpp)
 target_link_libraries(barrowrun_workflow PUBLIC barrowrun_depot Threads::Threads PRIVATE barrowrun_flags)
--- a/src/workflow/make/expand.hpp
+++ b/src/workflow/make/expand.hpp
@@ -54,7 +54,11 @@
     std::vector<std::string> shell_words(const Scope* scope, const Place& at);  // SHELL and .SHELLFLAGS
 
   private:
-    struct Function;
+    struct Function {
+        std::size_t least, most;  // arguments; most 0: any number
+        bool expanded;            // its arguments are expanded before it sees them
+        std::function<std::string(Expander&, std::vector<std::string>&, const Scope*, const Place&)> run;
+    };
     static const std::map<std::string, Function>& functions();
     std::string reference(std::string_view inside, const Scope* scope, const Place& at);
     std::string call_function(const std::string& name, const Function& f, std::string_view rest,
--- a/src/workflow/make/text.cpp
+++ b/src/workflow/make/text.cpp
@@ -35,6 +35,26 @@
     return std::string(text.substr(from, text.find_last_not_of(blanks) - from + 1));
 }
 
+std::string replace_all(const std::string& text, const std::string& from, const std::string& to) {
+    if (from.empty()) return text + to;
+    std::string out;
+    for (std::size_t at = 0;;) {
+        auto next = text.find(from, at);
+        out.append(text, at, next == std::string::npos ? next : next - at);
+        if (next == std::string::npos) return out;
+        out += to;
+        at = next + from.size();
+    }
+}
+
+std::string first_word(const std::string& text, std::string* rest) {
+    auto from = text.find_first_not_of(" \t");
+    if (from == std::string::npos) return "";
+    auto end = text.find_first_of(" \t", from);
+    if (rest) *rest = end == std::string::npos ? "" : strip(text.substr(end));
+    return text.substr(from, end == std::string::npos ? end : end - from);
+}
+
 Pattern::Pattern(std::string_view text) {
     std::string* into = &before;
     for (std::size_t i = 0; i < text.size(); ++i) {
--- a/src/workflow/make/text.hpp
+++ b/src/workflow/make/text.hpp
@@ -7,8 +7,19 @@
 namespace barrowrun::workflow::make {
 
 std::vector<std::string> words(std::string_view text);
-std::string join(const std::vector<std::string>& words);
+std::string join(const std::vector<std::string>& list);
 std::string strip(std::string_view text);
+std::string replace_all(const std::string& text, const std::string& from, const std::string& to);
+// Each word changed, joined again.
+template <class F>
+std::string each(const std::string& text, F f) {
+    auto list = words(text);
+    for (auto& w : list) w = f(w);
+    return join(list);
+}
+
+// The first word, and in `rest` what follows it.
+std::string first_word(const std::string& text, std::string* rest);
 
 // A word with at most one `%`; `\%` is a plain one.
 struct Pattern {
