--- a/bench/workflow_bench.cpp
+++ b/bench/workflow_bench.cpp
@@ -78,6 +78,7 @@
     state.SetComplexityN(state.range(0));
 }
 BENCHMARK(read_makefile)
+    ->UseRealTime()  // it is read on a thread of its own
     ->RangeMultiplier(4)
     ->Range(1000, 64000)
     ->Complexity(benchmark::oNLogN)
--- a/src/lab/main.cpp
+++ b/src/lab/main.cpp
@@ -61,12 +61,14 @@
 }
 
 std::shared_ptr<lab::Child> start_command(asio::io_context& io, lab::Site& site,
-                                          const std::vector<std::string>& argv) {
-    return std::make_shared<lab::Child>(io, lab::Child::What{argv, "", site.environment(), false});
+                                          const std::vector<std::string>& argv, const std::string& mark) {
+    auto env = site.environment();
+    env[proc::mark_variable] = mark;
+    return std::make_shared<lab::Child>(io, lab::Child::What{argv, "", env, false});
 }
 
 net::Task<int> command_in(asio::io_context& io, lab::Site& site, std::vector<std::string> argv,
-                          std::shared_ptr<lab::Child>& child, bool& asked_to_end) {
+                          std::shared_ptr<lab::Child>& child, bool& asked_to_end, std::string mark) {
     const bool up = co_await site.ready(30s);
     if (!up) {
         std::fprintf(stderr,
@@ -74,7 +76,7 @@
         co_return 1;
     }
     if (asked_to_end) co_return 130;
-    child = start_command(io, site, argv);
+    child = start_command(io, site, argv, mark);
     const int status = co_await child->wait();
     co_return status;
 }
@@ -86,6 +88,7 @@
     std::shared_ptr<lab::Child> child;
     bool asked_to_end = false;
     int status = 0;
+    const std::string mark = settings.dir + "/command";
     asio::signal_set signals(io, SIGTERM, SIGINT, SIGHUP);
     signals.async_wait([&](auto ec, int number) {
         if (ec) return;
@@ -109,22 +112,25 @@
         };
         asio::co_spawn(io, up(), asio::detached);
     } else {
-        asio::co_spawn(io, command_in(io, site, argv, child, asked_to_end), [&](std::exception_ptr e, int s) {
-            if (e) {
-                try {
-                    std::rethrow_exception(e);
-                } catch (const std::exception& err) {
-                    std::fprintf(stderr, "barrowrun-lab: %s\n", err.what());
-                }
-                s = 1;
-            }
-            if (!asked_to_end) status = s;
-            io.stop();
-        });
+        asio::co_spawn(io, command_in(io, site, argv, child, asked_to_end, mark),
+                       [&](std::exception_ptr e, int s) {
+                           if (e) {
+                               try {
+                                   std::rethrow_exception(e);
+                               } catch (const std::exception& err) {
+                                   std::fprintf(stderr, "barrowrun-lab: %s\n", err.what());
+                               }
+                               s = 1;
+                           }
+                           if (!asked_to_end) status = s;
+                           io.stop();
+                       });
     }
     io.run();
     if (child && child->alive()) child->signal(SIGKILL);
     site.stop();
+    // What the command had started is ended with it, if it did not end by itself.
+    if (asked_to_end) proc::end_marked(mark);
     if (!keep_dir) {
         std::error_code ec;
         std::filesystem::remove_all(settings.dir, ec);
