--- a/cmake/tools.cmake
+++ b/cmake/tools.cmake
@@ -63,6 +63,7 @@
 add_library(barrowrun_driver STATIC src/workflow/journal.cpp src/workflow/driver.cpp)
 target_link_libraries(barrowrun_driver PUBLIC barrowrun_workflow barrowrun_client barrowrun_store PRIVATE barrowrun_flags)
 
+set(CURSES_NEED_WIDE TRUE)
 find_package(Curses REQUIRED)
 barrowrun_embed(schema/client.schema.json ctl client_schema)
 barrowrun_embed(schema/job.schema.json ctl job_schema)
--- a/src/ctl/watch.cpp
+++ b/src/ctl/watch.cpp
@@ -1,6 +1,7 @@
 #include <unistd.h>
 
 #include <algorithm>
+#include <clocale>
 #include <cstdio>
 
 #include "ctl/flows.hpp"
@@ -19,6 +20,7 @@
     auto whole = std::filesystem::canonical(dir, ec);
     if (ec) throw Usage(dir + ": there is no such directory");
     workflow::Journal journal(whole.string());
+    std::setlocale(LC_ALL, "");  // names of files may be in any writing
     ::initscr();
     ::cbreak();
     ::noecho();
--- a/tests/rules/faults.sh
+++ b/tests/rules/faults.sh
@@ -93,6 +93,22 @@
     grep -q 'the last line' "$work/out" || say "the last lines are not told"
     local kept; kept=$(find "$BARROWRUN_DEPOT/runs" -name out -size +17M | wc -l); [ "$kept" -eq 0 ] || say "more than 16 MB of output kept"
 }
+case_memory_bound() {
+    # `tail` keeps a line of 300 MB in memory: more than the rule says it takes, and less than another says.
+    mkdir "$work/site"
+    printf 'all: small large\nsmall: BARROW_MEM_GB = 0.1\nlarge: BARROW_MEM_GB = 1\nsmall large:\n\t@head -c 300000000 /dev/zero | tail -n 1 | wc -c > $@; test $$(cat $@) -eq 300000000\n' > "$work/site/Makefile"
+    start -k; finish 1
+    [ -e "$work/site/small" ] && say "the bound does not hold"
+    [ -f "$work/site/large" ] || say "what keeps within its bound was not made"
+}
+case_changed_recipe() {
+    mkdir "$work/site"; printf 'x:\n\techo one > $@\n' > "$work/site/Makefile"
+    start; finish 0
+    printf 'x:\n\techo two > $@\n' > "$work/site/Makefile"
+    start; finish 0; [ "$(cat "$work/site/x")" = one ] || say "made again without being asked"
+    start --changed-recipes; finish 0; [ "$(cat "$work/site/x")" = two ] || say "not made again when asked"
+    start --changed-recipes; finish 0; grep -q '"state":"done","target"' "$work/out" && say "made a third time"
+}
 case_no_room_to_write() {
     # A file where a directory is needed, a device that is full, and a file that may not grow.
     mkdir "$work/site"; echo a file > "$work/site/notadir"
