--- a/src/worker/machine.cpp
+++ b/src/worker/machine.cpp
@@ -22,11 +22,6 @@
                        [](auto& kv) { return kv.second.state == TaskState::fetching; });
 }
 
-std::size_t Machine::live() const {
-    return static_cast<std::size_t>(std::count_if(
-        tasks_.begin(), tasks_.end(), [](auto& kv) { return kv.second.state != TaskState::exited; }));
-}
-
 void Machine::learn(std::uint64_t token, TimePoint now) {
     if (token <= token_) return;
     token_ = token;
--- a/src/worker/machine.hpp
+++ b/src/worker/machine.hpp
@@ -85,7 +85,6 @@
     std::uint64_t session() const { return session_; }
     std::uint64_t token() const { return token_; }
     TimePoint lease_end() const { return renewed_ + times_.lease; }
-    std::size_t live() const;
     const Times& times() const { return times_; }
 
   private:
--- a/src/workflow/driver.hpp
+++ b/src/workflow/driver.hpp
@@ -51,7 +51,6 @@
         TimePoint asked{};
         bool submitted = false, concluding = false;
         int eager = 0;  // polls to come soon, after a hint
-        std::optional<NodeReport> said;
     };
     using Handle = std::shared_ptr<Started>;
     void resume();
--- a/src/workflow/flow.cpp
+++ b/src/workflow/flow.cpp
@@ -62,7 +62,6 @@
 
 void Flow::begin() {
     for (auto g : graph_.goals) want(g);
-    begun_ = true;
     for (NodeId n = 0; n < nodes_.size(); ++n)
         if (nodes_[n].wanted && nodes_[n].needs.empty()) consider(n);
     drain();
--- a/src/workflow/flow.hpp
+++ b/src/workflow/flow.hpp
@@ -105,7 +105,7 @@
     FlowOptions options_;
     std::vector<Track> nodes_;
     std::size_t open_ = 0, failed_ = 0, busy_ = 0;
-    bool stopped_ = false, begun_ = false;
+    bool stopped_ = false;
     std::set<NodeId> made_before_;
     std::set<std::pair<int, NodeId>> queue_;  // by priority, then in the rules' order
     std::vector<NodeId> made_passing_;
--- a/src/workflow/make/expand.cpp
+++ b/src/workflow/make/expand.cpp
@@ -203,8 +203,8 @@
     char part[4096];
     while (auto n = std::fread(part, 1, sizeof part, pipe)) out.append(part, n);
     int status = ::pclose(pipe);
-    shell_status_ = WIFEXITED(status) ? WEXITSTATUS(status) : 128 + WTERMSIG(status);
-    global_[".SHELLSTATUS"] = {std::to_string(shell_status_), false, Origin::override_, {}};
+    const int ended = WIFEXITED(status) ? WEXITSTATUS(status) : 128 + WTERMSIG(status);
+    global_[".SHELLSTATUS"] = {std::to_string(ended), false, Origin::override_, {}};
     if (!out.empty() && out.back() == '\n') out.pop_back();
     std::replace(out.begin(), out.end(), '\n', ' ');
     return out;
--- a/src/workflow/make/expand.hpp
+++ b/src/workflow/make/expand.hpp
@@ -50,7 +50,6 @@
 
     std::function<void(const std::string& text, const Place& at)> on_eval;  // $(eval)
     std::function<void(const std::string& line)> on_message;                // $(info), $(warning)
-    int shell_status() const { return shell_status_; }
     std::vector<std::string> shell_words(const Scope* scope, const Place& at);  // SHELL and .SHELLFLAGS
 
   private:
@@ -68,7 +67,7 @@
     std::string dir_;
     std::map<std::string, Variable> global_;
     std::vector<const Variable*> active_;  // being expanded: a recursion that has no end is an error
-    int depth_ = 0, shell_status_ = 0;
+    int depth_ = 0;
 };
 
 }  // namespace barrowrun::workflow::make
--- a/src/workflow/make/makefile.cpp
+++ b/src/workflow/make/makefile.cpp
@@ -156,7 +156,6 @@
                 at, "'" + name + "' would be made by a rule before it is included: that isn't supported");
     resolver_->goals(options.goals);
     graph_.check_acyclic();
-    graph_.warnings.insert(graph_.warnings.end(), book_.warnings.begin(), book_.warnings.end());
     one_shell_ = resolver_->special(".ONESHELL");
     silent_ = resolver_->special(".SILENT");
     // What can be known to be wrong with a recipe is said before any runs.
--- a/src/workflow/make/parse.hpp
+++ b/src/workflow/make/parse.hpp
@@ -48,7 +48,6 @@
     std::vector<std::pair<std::string, Assignment>> pattern_variables;
     std::vector<std::pair<std::string, std::vector<std::string>>> vpaths;  // pattern -> directories
     std::string first_target;
-    std::vector<std::string> warnings;
 };
 
 class Parser {
