Goals of a make command line are taken in order when one is phony

Plain make takes goals one after the other.

Change: Graph::goals_in_order; what only a later goal needs begins after the earlier ones, whose failure doesn't matter with -k. Goals that are all files still run side by side. Test files are made anew rather than emptied: on a file system that syncs emptied files the broken-text test took 202 s.

--- a/src/workflow/flow.cpp
+++ b/src/workflow/flow.cpp
@@ -67,14 +67,19 @@
     drain();
 }
 
+bool Flow::lacks_a_need(NodeId n) const {
+    auto& needs = graph_.nodes[n].needs;
+    return std::any_of(needs.begin(), needs.end(), [this](const Need& need) {
+        auto s = nodes_[need.node].state;
+        return !need.sequence && (s == State::failed || s == State::skipped);
+    });
+}
+
 // All that it needs is final, or lazy.
 void Flow::consider(NodeId n) {
     auto& t = nodes_[n];
     if (stopped_ && !t.resumed) return settle(n, State::skipped);
-    for (auto need : t.needs) {
-        auto s = nodes_[need].state;
-        if (s == State::failed || s == State::skipped) return settle(n, State::skipped);
-    }
+    if (lacks_a_need(n)) return settle(n, State::skipped);
     if (t.resumed) {
         // Its job is on record: whether it was submitted or not, it is now.
         t.must_make = true;
@@ -269,11 +274,7 @@
     if (--t.open_needs > 0) return;
     if (t.must_make) {
         // It had been decided, and waited for passing files only.
-        for (auto need : t.needs) {
-            auto s = nodes_[need].state;
-            if (s == State::failed || s == State::skipped) return settle(user, State::skipped);
-        }
-        return launch(user);
+        return lacks_a_need(user) ? settle(user, State::skipped) : launch(user);
     }
     consider(user);
 }
--- a/src/workflow/flow.hpp
+++ b/src/workflow/flow.hpp
@@ -94,6 +94,7 @@
     };
     void want(NodeId n);
     void need_settled(NodeId n);
+    bool lacks_a_need(NodeId n) const;  // one that it needs has failed
     void demand(NodeId passing);
     void drain();
     void settle(NodeId n, State s);
--- a/src/workflow/graph.cpp
+++ b/src/workflow/graph.cpp
@@ -1,6 +1,7 @@
 #include "workflow/graph.hpp"
 
 #include <algorithm>
+#include <utility>
 
 namespace barrowrun::workflow {
 
@@ -11,6 +12,24 @@
     return depot::text_hash(all);
 }
 
+void Graph::goals_in_order() {
+    std::vector<char> seen(nodes.size(), 0);
+    std::optional<NodeId> before;
+    for (auto goal : goals) {
+        if (seen[goal]) continue;
+        std::vector<NodeId> stack{goal};
+        seen[goal] = 1;
+        while (!stack.empty()) {
+            auto n = stack.back();
+            stack.pop_back();
+            for (auto& need : nodes[n].needs)
+                if (!std::exchange(seen[need.node], 1)) stack.push_back(need.node);
+            if (before) nodes[n].needs.push_back({*before, true, true});
+        }
+        before = goal;
+    }
+}
+
 void Graph::check_acyclic() const {
     enum Mark : char { fresh, open, closed };
     std::vector<Mark> marks(nodes.size(), fresh);
--- a/src/workflow/graph.hpp
+++ b/src/workflow/graph.hpp
@@ -31,6 +31,9 @@
 struct Need {
     NodeId node = 0;
     bool order_only = false;  // must be there first; its age doesn't matter
+    // Merely comes first, as one goal of a command line does before the next: its failure doesn't matter
+    // either.
+    bool sequence = false;
 };
 
 // One run of a rule: one or more files that are made together, or a name that is no file.
@@ -78,6 +81,9 @@
     std::vector<std::string> warnings;
     std::size_t most_at_once = 0;  // 0: no bound
 
+    // Goals one after the other, as plain make takes them: what only a later one needs begins after the
+    // earlier ones. Each node waits for goals whose needs it isn't among, so this adds no cycle.
+    void goals_in_order();
     // Throws RuleError naming a cycle.
     void check_acyclic() const;
 };
--- a/src/workflow/make/resolve.cpp
+++ b/src/workflow/make/resolve.cpp
@@ -132,6 +132,11 @@
         list.push_back(goal);
     }
     for (auto& n : list) graph_.goals.push_back(need(n, nullptr, "", {}));
+    // `clean all`: the one must not remove what the other has just made. Goals that are all files share what
+    // they have in common and may be made side by side.
+    if (std::any_of(graph_.goals.begin(), graph_.goals.end(),
+                    [this](auto g) { return graph_.nodes[g].phony; }))
+        graph_.goals_in_order();
 }
 
 bool Resolver::could_make(const std::string& name) {
--- a/tests/flow_test.cpp
+++ b/tests/flow_test.cpp
@@ -240,6 +240,34 @@
     EXPECT_EQ(w.flow->state(last), State::skipped);
 }
 
+// `clean all` raced once: what `all` made was removed by `clean`, which ran beside it.
+TEST(Flow, GoalsInOrderBeginOneAfterTheOther) {
+    World w;
+    auto clean = w.add("clean", {});
+    w.g.nodes[clean].phony = true;
+    auto shared = w.add("shared", {});
+    auto first = w.add("first", {shared});
+    auto source = w.file("source", 10);
+    auto last = w.add("last", {source, shared});
+    w.g.goals = {clean, first, last, clean};
+    w.g.goals_in_order();
+    w.g.check_acyclic();
+    w.begin({clean, first, last, clean}, {.keep_going = true});
+    EXPECT_EQ(w.started, (std::vector<std::string>{"clean"}));
+    w.flow->final(clean, false);  // with -k the goals after a failed one are made all the same
+    w.turn();
+    EXPECT_EQ(w.started, (std::vector<std::string>{"clean", "shared"}));
+    w.files["shared"] = ++w.clock;
+    w.flow->final(shared, true, w.look(shared));
+    w.turn();
+    EXPECT_EQ(w.started.back(), "first");
+    EXPECT_EQ(w.flow->state(last), State::waiting);
+    w.files["first"] = ++w.clock;
+    w.flow->final(first, true, w.look(first));
+    w.turn();
+    EXPECT_EQ(w.started.back(), "last");
+}
+
 TEST(Graph, ACycleIsNamed) {
     World w;
     auto a = w.add("a", {}), b = w.add("b", {a});
--- a/tests/temp_dir.hpp
+++ b/tests/temp_dir.hpp
@@ -26,6 +26,10 @@
     }
     void write(const std::string& name, const std::string& content) const {
         std::filesystem::create_directories((path / name).parent_path());
+        // A new file, not the old one emptied: some file systems sync what was emptied and written again, and
+        // thousands of broken files then took minutes.
+        std::error_code ec;
+        std::filesystem::remove(path / name, ec);
         std::ofstream(path / name, std::ios::binary) << content;
     }
     std::string read(const std::string& name) const {
