Nested quotas: organisations, teams and projects; guarantees that hold

Need: the guarantee of the platform's file was read and used nowhere, and limits knew one level only.

Change: src/quota (tree, ledger by deltas, planner of who yields, the book of versions on record), used by the leader: work within a guarantee first, what is borrowed yields to it (nearest relatives, then least loss, gangs whole), lowered limits are met in steps, a successor goes on. Changes while running by GET and POST /quota with an operator key, one transaction each; barrowctl quota and explain; an optional project in submissions; unknown fields of a submission are kept on record. Renting covers no work that a limit keeps from starting.

Flat teams without limits take none of the paths.

--- a/src/api/leader.cpp
+++ b/src/api/leader.cpp
@@ -49,6 +49,7 @@
         spdlog::warn("the records could not be read, once more");
         co_await net::sleep_for(200ms);
     }
+    co_await load_quotas();
     const auto& [jobs, progress, sheets, hires] = *read;
     watch_from_ = jobs.revision;
     if (services_.catalog.empty()) {
--- a/src/api/leader.hpp
+++ b/src/api/leader.hpp
@@ -3,6 +3,7 @@
 #include <map>
 #include <memory>
 
+#include "api/quotas.hpp"
 #include "app/settings.hpp"
 #include "election/election.hpp"
 #include "fleet/cloud_client.hpp"
@@ -48,9 +49,18 @@
     void accepted_here(const state::JobRecord& record);
     bool admits(std::uint32_t tasks) const { return cluster_.queue().admits(tasks); }
     std::uint64_t waiting() const { return cluster_.queue().waiting(); }
+    // Operators: what every node of the quotas has in use, in pages; a change, on record before it is
+    // answered; what keeps a job waiting.
+    Response quota_page(std::uint64_t since, std::uint64_t page) const;
+    Task<Response> change_quotas(Json change);
+    std::optional<Json> explain(const std::string& id) const;
+    std::uint64_t quota_version() const { return book_.version(); }
+    const quota::Tree& quota_tree() const { return cluster_.ledger().tree(); }
 
   private:
     Task<> load();
+    Task<> load_quotas();
+    void use_quotas(quota::Book book, quota::TreePtr tree);
     Task<> place_loop();
     Task<> write_loop();
     Task<> tick_loop();
@@ -80,6 +90,8 @@
     net::Signal place_wake_, write_wake_;
     TimePoint acquired_;
     bool loaded_ = false, stopped_ = false, restamping_ = false;
+    quota::Book book_;
+    bool changing_quotas_ = false;
     std::uint64_t watch_from_ = 0, hires_ = 0;
     std::map<std::string, wire::Report> early_;      // reports before the records were read
     std::map<std::string, TimePoint> early_answer_;  // leases renewed by then
--- a/src/api/node.cpp
+++ b/src/api/node.cpp
@@ -2,6 +2,8 @@
 
 #include <spdlog/spdlog.h>
 
+#include <charconv>
+
 namespace barrowrun::api {
 using net::http::verb;
 using state::Outcome;
@@ -107,6 +109,17 @@
         if (!post) co_return problem(405, "use POST");
         co_return co_await hello(std::move(request.body));
     }
+    if (target == "/quota") {
+        if (!get && !post) co_return problem(405, "use GET or POST");
+        Json body = Json::object();
+        if (post) {
+            auto decoded = wire::decode(request.body);
+            if (!decoded || !decoded->is_object())
+                co_return problem(400, "the body is not a MessagePack map");
+            body = std::move(*decoded);
+        }
+        co_return co_await quotas(request.target, post, std::move(body), false);
+    }
     if (target == prefix) {
         if (!post) co_return problem(405, "use POST");
         co_return co_await submit(std::move(request.body));
@@ -118,6 +131,10 @@
             if (!get) co_return problem(405, "use GET");
             co_return co_await status(rest);
         }
+        if (rest.substr(slash) == "/explain") {
+            if (!get) co_return problem(405, "use GET");
+            co_return co_await explain(rest.substr(0, slash), false);
+        }
         if (rest.substr(slash) == "/cancel") {
             if (!post) co_return problem(405, "use POST");
             co_return co_await cancel(rest.substr(0, slash), false);
@@ -165,6 +182,12 @@
         if (!s || !kept->may_act()) co_return problem(503, "not known here");
         co_return Response{200, wire::status_json(*s)};
     }
+    if (target == "/peer/quota") {
+        auto query = wire::text(*body, "target").value_or("");
+        auto change = wire::find(*body, "change");
+        co_return co_await quotas(query, change != nullptr, change ? *change : Json::object(), true);
+    }
+    if (target == "/peer/explain") co_return co_await explain(wire::text(*body, "id").value_or(""), true);
     if (target == "/peer/submit") {
         auto spec = wire::parse_submission(*body);
         if (!std::holds_alternative<wire::JobSpec>(spec)) co_return problem(400, "malformed");
@@ -266,6 +289,84 @@
     co_return problem(503, "no leader can be reached", 1);
 }
 
+// ---- operators -----------------------------------------------------------------------------------------
+
+namespace {
+// `name=123` of a target; 0 if it isn't there.
+std::uint64_t query_number(const std::string& target, const std::string& name) {
+    auto at = target.find('?');
+    while (at != std::string::npos) {
+        auto begin = at + 1;
+        at = target.find('&', begin);
+        auto part = target.substr(begin, at == std::string::npos ? at : at - begin);
+        if (!part.starts_with(name + "=")) continue;
+        std::uint64_t n = 0;
+        std::from_chars(part.data() + name.size() + 1, part.data() + part.size(), n);
+        return n;
+    }
+    return 0;
+}
+}  // namespace
+
+Task<Response> Node::quotas(std::string target, bool change, Json body, bool from_peer) {
+    if (change && !from_peer) {
+        if (settings_.operator_key.empty())
+            co_return problem(403, "no operator_key is set: quotas can't be changed here");
+        if (!same_secret(wire::text(body, "key").value_or(""), settings_.operator_key))
+            co_return problem(403, "the operator key is not the one that is set");
+        body.erase("key");
+    }
+    if (auto kept = leader_; leader()) {
+        if (change) co_return co_await kept->change_quotas(std::move(body));
+        auto answer = kept->quota_page(query_number(target, "since"), query_number(target, "page"));
+        if (kept->may_act()) co_return answer;
+    } else if (!from_peer) {
+        Json ask{{"target", target}};
+        if (change) ask["change"] = std::move(body);
+        // A change waits for the state service; without an answer it may have been made.
+        if (auto answer = co_await ask_leader("/peer/quota", std::move(ask), change ? 4500ms : 1500ms))
+            co_return std::move(*answer);
+    }
+    co_return problem(503, "no leader can be reached", 1);
+}
+
+Task<Response> Node::explain(std::string id, bool from_peer) {
+    if (!wire::valid_job_id(id)) co_return problem(404, "no such job");
+    if (auto kept = leader_; leader()) {
+        auto answer = kept->explain(id);
+        if (answer && kept->may_act()) co_return Response{200, std::move(*answer)};
+    } else if (!from_peer) {
+        if (auto answer = co_await ask_leader("/peer/explain", id_body(id), 1000ms))
+            co_return std::move(*answer);
+    }
+    if (from_peer) co_return problem(503, "not known here");
+    // Over, unknown, or nobody leads: its state is all there is to say.
+    co_return co_await status(id);
+}
+
+Task<std::optional<std::string>> Node::check_project(const wire::JobSpec& spec) {
+    if (spec.project.empty()) co_return std::nullopt;
+    const std::string refusal = "unknown project '" + spec.project + "' of team " + spec.team;
+    if (!settings_.rules.quotas) co_return refusal + ": quotas are not switched on";
+    if (auto kept = leader_; leader() && kept->loaded()) {
+        if (kept->quota_tree().project(spec.team, spec.project)) co_return std::nullopt;
+        co_return refusal;
+    }
+    if (known_quotas_ && known_quotas_->project(spec.team, spec.project)) co_return std::nullopt;
+    // It may have been added since: a refusal needs a fresh look. Where none can be had the job is taken, and
+    // charged to the nearest node above.
+    auto [outcome, book] = co_await read_quotas(state_, settings_.rules.value_bytes);
+    if (outcome != QuotasRead::ok && outcome != QuotasRead::none) co_return std::nullopt;
+    auto built = quota::Tree::build(outcome == QuotasRead::ok ? book.lines() : *settings_.rules.quotas,
+                                    placement::quota_teams(settings_.rules.teams));
+    if (!built.tree) co_return std::nullopt;
+    known_quotas_ = built.tree;
+    if (known_quotas_->project(spec.team, spec.project)) co_return std::nullopt;
+    co_return refusal;
+}
+
+// ---- users' jobs ---------------------------------------------------------------------------------------
+
 Task<Response> Node::submit(std::string body) {
     auto decoded = wire::decode(body);
     if (!decoded || !decoded->is_object()) co_return problem(400, "the body is not a MessagePack map");
@@ -297,6 +398,8 @@
             (limits.gpus_max > 0 && spec.need.gpus * n > limits.gpus_max + 1e-6))
             status = 422, refusal = "needs more than the team's limit";
     }
+    if (status == 0)
+        if (auto wrong = co_await check_project(spec)) status = 422, refusal = *wrong;
     if (status == 0 && catalog_.empty()) {
         status = 503, refusal = "the machine types are not known yet";
     } else if (status == 0) {
--- a/src/api/node.hpp
+++ b/src/api/node.hpp
@@ -19,6 +19,11 @@
     Task<Response> status(std::string id);
     Task<Response> cancel(std::string id, bool from_peer);
     Task<Response> hello(std::string body);
+    // Operators' requests, which only the leader can answer.
+    Task<Response> quotas(std::string target, bool change, Json body, bool from_peer);
+    Task<Response> explain(std::string id, bool from_peer);
+    // What is wrong with the job's project; nothing: it is there, or this node can't tell.
+    Task<std::optional<std::string>> check_project(const wire::JobSpec& spec);
     Response health();
     // A job's state from the state service: any node may look. Nothing: it could not be read.
     struct Look {
@@ -40,6 +45,7 @@
     std::vector<wire::MachineType> catalog_;
     net::HttpServer public_server_, peer_server_;
     std::shared_ptr<Leader> leader_;
+    quota::TreePtr known_quotas_;                      // as last read, to check projects without the lead
     std::map<std::string, wire::JobStatus> finished_;  // final states seen, bounded
     std::map<std::string, TimePoint> redirected_;      // workers sent to the leader, and when
 };
--- /dev/null
+++ b/src/api/quotas.hpp
@@ -0,0 +1,21 @@
+#pragma once
+// Quotas between the state service, the leader and operators: how they are read, and who may change them.
+#include "quota/book.hpp"
+#include "state/state_client.hpp"
+
+namespace barrowrun::api {
+
+enum class QuotasRead {
+    ok,
+    none,       // never changed while running: the operator's file holds
+    unusable,   // the records can't be used, whoever reads them
+    no_answer,  // the service did not say: read again
+};
+
+// One version whole: pages are read before the head, and the head once more.
+net::Task<std::pair<QuotasRead, quota::Book>> read_quotas(state::StateClient& state, std::size_t value_bytes);
+
+// Takes as long whatever they have in common.
+bool same_secret(const std::string& given, const std::string& kept);
+
+}  // namespace barrowrun::api
--- a/src/app/operator_settings.cpp
+++ b/src/app/operator_settings.cpp
@@ -1,5 +1,6 @@
 #include "app/operator_schema.hpp"
 #include "app/settings.hpp"
+#include "config/quotas.hpp"
 #include "config/schema.hpp"
 
 namespace barrowrun::app {
@@ -9,13 +10,26 @@
     try {
         given = config::parse_checked(text, operator_schema);
     } catch (const config::ConfigError& e) {
-        throw SettingsError(std::string(e.what()) == "not JSON" ? "the operator settings are not JSON" : e.what());
+        throw SettingsError(std::string(e.what()) == "not JSON" ? "the operator settings are not JSON"
+                                                                : e.what());
     }
     if (auto v = wire::count(given, "queue_bound")) s.rules.queue_bound = *v;
     if (auto v = wire::count(given, "leader_hold_ms")) s.leader_hold = std::chrono::milliseconds(*v);
     if (auto v = wire::count(given, "promise_ms")) s.promise = std::chrono::milliseconds(*v);
     if (auto v = wire::amount(given, "idle_return_s")) s.rules.idle_return_s = *v;
     if (auto v = wire::count(given, "headroom_min")) s.rules.headroom_min = static_cast<std::uint32_t>(*v);
+    if (const auto* q = wire::find(given, "quotas")) {
+        quota::Change file;
+        try {
+            file = config::read_quotas(*q);
+        } catch (const config::ConfigError& e) {
+            throw SettingsError(std::string("quotas: ") + e.what());
+        }
+        auto built = quota::Tree::build(file.set, placement::quota_teams(s.rules.teams));
+        if (!built.tree) throw SettingsError("quotas: " + built.faults.front().str());
+        s.rules.quotas = std::move(file.set);
+    }
+    s.operator_key = wire::text(given, "operator_key").value_or("");
     if (auto v = wire::count(given, "headroom_max")) s.rules.headroom_max = static_cast<std::uint32_t>(*v);
 }
 
--- a/src/app/settings.hpp
+++ b/src/app/settings.hpp
@@ -22,6 +22,8 @@
     placement::Rules rules;
     double state_rps = 100, state_write_rps = 50, cloud_rps = 2, list_lag_s = 5;
     double max_connections = 500;
+    // Who changes quotas while running must know it; empty: nobody may.
+    std::string operator_key;
     std::chrono::milliseconds leader_hold{3000}, promise{2500};
 };
 
--- a/src/client/client.cpp
+++ b/src/client/client.cpp
@@ -75,6 +75,19 @@
     }
 }
 
+Task<net::Reply> Client::request(verb method, std::string target, std::optional<Json> body) {
+    const auto end = Clock::now() + patience_.total;
+    auto pause = patience_.first_pause;
+    for (;;) {
+        auto reply = co_await ask(method, target, body, patience_.answer);
+        const bool later =
+            reply.status == 0 || reply.status == 429 || reply.status == 503 || reply.status == 504;
+        if (!later || Clock::now() + pause >= end) co_return reply;
+        co_await net::sleep_for(pause);
+        pause = std::min(pause * 2, patience_.longest_pause);
+    }
+}
+
 Task<Outcome> Client::submit(wire::JobSpec spec) {
     co_return co_await insist(verb::post, "/submissions", wire::submission_json(spec));
 }
--- a/src/client/client.hpp
+++ b/src/client/client.hpp
@@ -47,6 +47,8 @@
     Task<Outcome> submit(wire::JobSpec spec) override;
     Task<Outcome> cancel(std::string id) override;
     Task<Outcome> status(std::string id) override;
+    // Any request, until a node gives an answer other than 503, 504 or 429, or patience ends.
+    Task<net::Reply> request(net::http::verb method, std::string target, std::optional<wire::Json> body);
     const std::vector<std::string>& nodes() const { return nodes_; }
 
   private:
--- a/src/ctl/jobs.cpp
+++ b/src/ctl/jobs.cpp
@@ -50,6 +50,7 @@
     s.save_s = j.value("save_s", 0.0);
     if (j.contains("deadline_s")) s.deadline_s = j["deadline_s"];
     if (j.contains("retries")) s.retries = j["retries"];
+    s.project = j.value("project", "");
     d.steps = {{j["command"], false, false}};
     d.dir = std::filesystem::absolute(j.value("dir", ".")).lexically_normal().string();
     if (j.contains("env")) d.env = j["env"].get<std::map<std::string, std::string>>();
--- a/src/ctl/main.cpp
+++ b/src/ctl/main.cpp
@@ -4,6 +4,7 @@
 #include "app/logging.hpp"
 #include "ctl/flows.hpp"
 #include "ctl/jobs.hpp"
+#include "ctl/quota.hpp"
 
 using namespace barrowrun;
 
@@ -62,6 +63,23 @@
     for (auto* sub : {show, stop, resume}) sub->add_option("id", id)->required();
     auto* watch = cli.add_subcommand("watch", "watch a directory's flows on the terminal");
     watch->add_option("-C,--directory", dir, "the directory");
+    auto* why = cli.add_subcommand("explain", "what keeps a job's tasks waiting");
+    why->add_option("id", id)->required();
+    ctl::QuotaCall quota_call;
+    auto* quota = cli.add_subcommand("quota", "nested quotas of organisations, teams and projects");
+    quota->require_subcommand(1);
+    auto* quota_show = quota->add_subcommand("show", "limits, guarantees, what is in use and waits");
+    quota_show->add_flag("--tree", quota_call.tree, "as a tree with bars");
+    auto* quota_set = quota->add_subcommand("set", "make the site's quotas what a file says");
+    quota_set->add_flag("--prune", quota_call.prune, "drop nodes that the file doesn't name");
+    quota_set->add_option("--why", quota_call.why, "for the history");
+    quota_set->add_option("--by", quota_call.by, "who, for the history (default: USER)")->envname("USER");
+    auto* quota_check = quota->add_subcommand("check", "every fault of a file; status 2 if there is one");
+    quota_check->add_option("--settings", quota_call.settings,
+                            "the platform's settings file, whose teams it must suit (default: the site's)");
+    for (auto* sub : {quota_set, quota_check})
+        sub->add_option("file", quota_call.file, "JSON, see schema/quotas.schema.json")->required();
+    auto* quota_history = quota->add_subcommand("history", "who changed them, when and why");
     try {
         cli.parse(argc, argv);
     } catch (const CLI::ParseError& e) {
@@ -83,6 +101,11 @@
         if (*show) return ctl::flow_show(o, dir, id);
         if (*stop) return ctl::flow_cancel(o, dir, id);
         if (*resume) return ctl::flow_resume(o, dir, id);
+        if (*why) return ctl::explain(o, id);
+        if (*quota_show) return ctl::quota_show(o, quota_call);
+        if (*quota_set) return ctl::quota_set(o, quota_call);
+        if (*quota_check) return ctl::quota_check(o, quota_call);
+        if (*quota_history) return ctl::quota_history(o);
         if (*watch) return ctl::watch(o, dir);
     } catch (const ctl::Usage& e) {
         std::fprintf(stderr, "barrowctl: %s\n", e.what());
--- a/src/fleet/machine.hpp
+++ b/src/fleet/machine.hpp
@@ -39,6 +39,7 @@
     TimePoint running{};  // when it was first seen running
     TimePoint ended{};
     wire::Resources need;
+    std::uint32_t account = ~0u;  // what it is charged to, as long as it is
     // Of its job, kept here so that a look at a machine needs no look-up of jobs.
     wire::Priority level = wire::Priority::low;
     bool may_yield = false;  // no replica: lower work may be stopped for higher
--- a/src/fleet/renting.cpp
+++ b/src/fleet/renting.cpp
@@ -309,6 +309,16 @@
             orders[offers[pick]]++;
         }
     };
+    // What a limit keeps from starting needs no machine.
+    std::optional<quota::Ledger> planned;
+    if (cluster.ledger().tree().limits()) planned = cluster.ledger();
+    auto allowed_of = [&](const Job& job, std::uint32_t n) {
+        if (!planned || n == 0) return n;
+        auto k = planned->admitted(job.account, job.spec.need, n);
+        if (job.spec.sort == Sort::gang && k < n) return 0u;
+        for (std::uint32_t i = 0; i < k; ++i) planned->charge(job.account, job.spec.need);
+        return k;
+    };
     std::vector<std::pair<bool, double>> ahead;  // work of arrays that come first: spot or not, CPU seconds
     wire::JobSpec headroom;
     std::uint32_t headroom_tasks = 0;
@@ -318,7 +328,7 @@
             if (it == cluster.jobs().end()) continue;
             const Job& job = *it->second;
             if (job.cancelled || job.errors_in_row > 4) continue;
-            std::uint32_t n = job.waiting.size();
+            std::uint32_t n = allowed_of(job, job.waiting.size());
             if (job.spec.sort == Sort::array) {
                 // Tasks that run one after the other on the same slot need fewer slots.
                 double run = job.run_guess() + 1;
--- a/src/lab/main.cpp
+++ b/src/lab/main.cpp
@@ -183,6 +183,9 @@
         sub->add_option("--report-s", site.report_s, "workers' report interval")
             ->check(CLI::Range(0.1, 60.0));
         sub->add_option("--lease-s", site.lease_s, "workers' lease")->check(CLI::Range(2.0, 600.0));
+        sub->add_option("--operator", site.operators, "a file with more of the operator's settings");
+        sub->add_option("--team", site.teams,
+                        "a team besides `lab`: NAME[:CPUS[:CPUS_MAX]], guaranteed and at most");
         sub->add_option("--dir", dir,
                         "where the site keeps its files (default: a directory that is removed)");
         sub->add_flag("--relays", site.relays,
--- a/src/lab/site.cpp
+++ b/src/lab/site.cpp
@@ -3,6 +3,7 @@
 #include <signal.h>
 
 #include <filesystem>
+#include <sstream>
 
 #include "depot/files.hpp"
 #include "proc/spawn.hpp"
@@ -48,29 +49,50 @@
                            {"area", "lab"},
                            {"addr", way(other, internal_[static_cast<std::size_t>(k)])}});
     }
-    Json s{
-        {"node_name", name},
-        {"area", "lab"},
-        {"serve_on", public_[static_cast<std::size_t>(i)]},
-        {"internal_addr", internal_[static_cast<std::size_t>(i)]},
-        {"members", members},
-        {"external", {{"cloud", way("cloud", cloud_)}, {"state", way("state:" + name, state_)}}},
-        {"deployment",
-         {{"size", settings_.controllers},
-          {"zones", {"lab"}},
-          {"teams",
-           {{{"name", settings_.team}, {"cpus", 0.0}, {"gpus", 0.0}, {"cpus_max", 0.0}, {"gpus_max", 0.0}}}},
-          {"objectives", Json::array()},
-          {"workers",
-           {{"report_s", settings_.report_s},
-            {"lease_s", settings_.lease_s},
-            {"gang_wait_s", 10.0},
-            {"gang_peer_s", 2.0},
-            {"cancel_s", 2 * settings_.lease_s}}},
-          {"state", {{"rps", 4000.0}, {"write_rps", 2000.0}, {"value_kb", 32.0}, {"txn_ops", 32}}},
-          {"cloud", {{"rps", 20.0}, {"list_lag_s", 1.0}}},
-          {"quota", {{"cores", 1.0}, {"ram_mb", 256.0}, {"max_sockets", 2000}}},
-          {"clock_error_ms", 5.0}}}};
+    Json teams = Json::array();
+    auto add_team = [&](const std::string& text) {
+        // NAME[:CPUS[:CPUS_MAX]]
+        std::stringstream parts(text);
+        std::string team, cpus, most;
+        std::getline(parts, team, ':');
+        std::getline(parts, cpus, ':');
+        std::getline(parts, most);
+        auto amount = [&](const std::string& x) {
+            char* end = nullptr;
+            double v = x.empty() ? 0.0 : std::strtod(x.c_str(), &end);
+            if (team.empty() || v < 0 || (end && *end))
+                throw std::runtime_error("'" + text + "': expected NAME[:CPUS[:CPUS_MAX]]");
+            return v;
+        };
+        teams.push_back({{"name", team},
+                         {"cpus", amount(cpus)},
+                         {"gpus", 0.0},
+                         {"cpus_max", amount(most)},
+                         {"gpus_max", 0.0}});
+    };
+    add_team(settings_.team);
+    for (auto& t : settings_.teams) add_team(t);
+    Json s{{"node_name", name},
+           {"area", "lab"},
+           {"serve_on", public_[static_cast<std::size_t>(i)]},
+           {"internal_addr", internal_[static_cast<std::size_t>(i)]},
+           {"members", members},
+           {"external", {{"cloud", way("cloud", cloud_)}, {"state", way("state:" + name, state_)}}},
+           {"deployment",
+            {{"size", settings_.controllers},
+             {"zones", {"lab"}},
+             {"teams", std::move(teams)},
+             {"objectives", Json::array()},
+             {"workers",
+              {{"report_s", settings_.report_s},
+               {"lease_s", settings_.lease_s},
+               {"gang_wait_s", 10.0},
+               {"gang_peer_s", 2.0},
+               {"cancel_s", 2 * settings_.lease_s}}},
+             {"state", {{"rps", 4000.0}, {"write_rps", 2000.0}, {"value_kb", 32.0}, {"txn_ops", 32}}},
+             {"cloud", {{"rps", 20.0}, {"list_lag_s", 1.0}}},
+             {"quota", {{"cores", 1.0}, {"ram_mb", 256.0}, {"max_sockets", 2000}}},
+             {"clock_error_ms", 5.0}}}};
     depot::write_whole(settings_.dir + "/" + name + ".json", s.dump(2));
 }
 
@@ -86,6 +108,13 @@
     Json operators{{"idle_return_s", 3600},
                    {"leader_hold_ms", static_cast<int>(settings_.hold_s * 1000)},
                    {"promise_ms", 1000}};
+    if (!settings_.operators.empty()) {
+        auto text = depot::read_all(settings_.operators);
+        auto more = Json::parse(text.value_or(""), nullptr, false);
+        if (!more.is_object())
+            throw std::runtime_error(settings_.operators + ": expected a file with a JSON object");
+        operators.update(more);
+    }
     depot::write_whole(settings_.dir + "/operator.json", operators.dump(2));
     Json controllers = Json::object();
     for (int i = 0; i < settings_.controllers; ++i)
--- a/src/lab/site.hpp
+++ b/src/lab/site.hpp
@@ -17,6 +17,8 @@
     bool relays = false;  // so that ways can be cut and slowed
     double report_s = 1, lease_s = 8, hold_s = 2;
     std::string team = "lab";
+    std::string operators;           // JSON: more of the operator's settings
+    std::vector<std::string> teams;  // besides `team`, as NAME[:CPUS[:CPUS_MAX]]
     Clock::duration controller_back = std::chrono::seconds(1), state_back = std::chrono::milliseconds(500);
 };
 
--- a/src/placement/cluster.cpp
+++ b/src/placement/cluster.cpp
@@ -14,8 +14,6 @@
 using wire::TaskState;
 
 namespace {
-// Bounds the time of a round and what its starts put into the line of writes; the next round follows at once.
-constexpr std::size_t most_starts_a_round = 400;
 // A job whose task ran that long can run: faulty machines fail theirs sooner.
 constexpr std::chrono::seconds proven_after{10};
 // A faulty machine that replicas keep rented is tried again after this.
@@ -37,6 +35,35 @@
     return places.empty() ? wire::Standing::queued : wire::Standing::running;
 }
 
+std::vector<quota::Team> quota_teams(const std::map<std::string, TeamLimits>& teams) {
+    auto some = [](double x) { return x > 0 ? std::optional<double>(x) : std::nullopt; };  // 0: none
+    std::vector<quota::Team> out;
+    for (auto& [name, t] : teams)
+        out.push_back({name,
+                       {some(t.cpus_max), some(t.gpus_max), std::nullopt},
+                       {some(t.cpus), some(t.gpus), std::nullopt}});
+    return out;
+}
+
+namespace {
+quota::TreePtr first_tree(const Rules& rules) {
+    auto teams = quota_teams(rules.teams);
+    if (auto built = quota::Tree::build(rules.quotas.value_or(std::vector<quota::Line>{}), teams); built.tree)
+        return built.tree;
+    // Settings are checked when they are read. A platform's own team with a guarantee beyond its limit can
+    // still come here: its limit is the rule.
+    spdlog::error("the quotas can't be used: the platform's limits alone hold");
+    for (auto& t : teams) t.guarantee = {};
+    return quota::Tree::build({}, teams).tree;
+}
+}  // namespace
+
+Cluster::Cluster(Rules rules)
+    : rules_(std::move(rules)),
+      queue_(rules_.queue_bound),
+      sheets_(rules_.value_bytes),
+      ledger_(first_tree(rules_)) {}
+
 bool fits_some_type(const wire::JobSpec& spec, const std::vector<wire::MachineType>& types) {
     for (auto& t : types) {
         if (spec.types && std::find(spec.types->begin(), spec.types->end(), t.name) == spec.types->end())
@@ -68,6 +95,7 @@
     Job& job = *it->second;
     job.spec = record.spec;
     job.accepted_ms = record.accepted_ms;
+    job.account = account_of(job.spec);
     const auto& s = job.spec;
     job.shape = fmt::format("{:.3f}/{:.3f}/{:.3f}/{}/{}", s.need.cpus, s.need.gpus, s.need.mem_gb, s.spot_ok,
                             s.zone.value_or(""));
@@ -182,8 +210,8 @@
     // The record names every task that failed and is not done; one that would outgrow its value ends the job.
     bool too_many = job.errors.size() > rules_.value_bytes / 64;
     if (errors.count <= *job.spec.retries && !too_many) return;
-    spdlog::info("job {} has failed: {} failed {} times, last on {}{}", job.spec.id, a.task.str(), errors.count,
-                 m.name, too_many ? ", as did too many other tasks" : "");
+    spdlog::info("job {} has failed: {} failed {} times, last on {}{}", job.spec.id, a.task.str(),
+                 errors.count, m.name, too_many ? ", as did too many other tasks" : "");
     job.failed = true;
     cancel(job, now);
 }
@@ -324,6 +352,12 @@
         Job* job = find_job(c.attempt.task.job);
         auto index = c.attempt.task.index;
         if (job && index >= job->spec.tasks) job = nullptr;
+        if (c.kind == Change::vanished) {
+            Entry gone = c.entry;
+            release(gone);
+        } else if (c.kind == Change::ended) {
+            if (auto it = m.entries.find(c.attempt); it != m.entries.end()) release(it->second);
+        }
         switch (c.kind) {
             case Change::adopted: {
                 auto it = m.entries.find(c.attempt);
@@ -492,6 +526,7 @@
         if (e.stop && !e.late && !e.in_flight && (e.phase == Phase::recording || e.phase == Phase::ready))
             dropped.push_back(a);
     for (auto& a : dropped) {
+        release(m.entries.at(a));
         m.entries.erase(a);
         if (Job* job = find_job(a.task.job)) unplace(*job, a.task.index, m.name, a.number);
     }
@@ -590,17 +625,6 @@
     return true;
 }
 
-bool Cluster::team_has_room(const Job& job, std::uint32_t tasks) const {
-    auto limits = rules_.teams.find(job.spec.team);
-    if (limits == rules_.teams.end()) return true;
-    wire::Resources used;
-    if (auto it = usage_.find(job.spec.team); it != usage_.end()) used = it->second;
-    const auto& l = limits->second;
-    if (l.cpus_max > 0 && used.cpus + job.spec.need.cpus * tasks > l.cpus_max + 1e-6) return false;
-    if (l.gpus_max > 0 && used.gpus + job.spec.need.gpus * tasks > l.gpus_max + 1e-6) return false;
-    return true;
-}
-
 // An attempt that may be on a machine: its task does not wait any more, and the entry knows what it is.
 void Cluster::occupy(Job& job, const Attempt& a, Entry& e, const std::string& machine) {
     e.need = job.spec.need;
@@ -610,9 +634,16 @@
     auto& list = job.places[a.task.index];
     std::pair here{machine, a.number};
     if (std::find(list.begin(), list.end(), here) == list.end()) list.push_back(std::move(here));
+    if (e.account == quota::no_node) ledger_.charge(e.account = job.account, e.need);
     set_waiting(job, a.task.index, false);
 }
 
+void Cluster::release(Entry& e) {
+    if (e.account == quota::no_node) return;
+    ledger_.release(e.account, e.need);
+    e.account = quota::no_node;
+}
+
 // A machine that takes a task only becomes the better choice for the next one of the same job (a tighter fit,
 // its image under way), and no other machine changes. So the order holds for all of its tasks, and filling
 // the machines in turn gives what a search for each task would give.
@@ -653,7 +684,6 @@
     m.free -= e.need;
     m.idle_since = now;
     if (!m.has_image(job.spec.image)) m.note_fetch(job.spec.image, job.spec.image_gb);
-    usage_[job.spec.team] += job.spec.need;
     sheets_.start(m.name, {job.spec.priority, job.accepted});
     spdlog::debug("place {} attempt {} on {}, image {}, {:.2f} s after it was accepted", a.task.str(),
                   attempt, m.name, m.has_image(job.spec.image) ? "there" : "to fetch",
@@ -663,7 +693,7 @@
 bool Cluster::place_gang(Job& job, TimePoint now) {
     // All or none: every task of the earlier attempt must be gone, and room must show for all at once.
     if (job.waiting.size() != job.spec.tasks || !job.places.empty()) return false;
-    if (!team_has_room(job, job.spec.tasks)) return false;
+    if (!ledger_.admits(job.account, job.spec.need, job.spec.tasks)) return false;
     std::vector<std::string> zones{""};
     if (job.spec.one_zone) {
         std::set<std::string> all;
@@ -746,6 +776,7 @@
     Room out;
     if (!may_preempt(job, now)) return out;
     const bool kept_only = job.spec.priority > Priority::high;
+    const bool guarantees = ledger_.tree().guarantees();
     const auto& need = job.spec.need;
     struct Victim {
         Attempt a;
@@ -757,12 +788,6 @@
         std::vector<Victim> victims;
         double cost = 0;
     };
-    auto coming = [&](Machine& m) {  // what will be free once the stopped tasks are out
-        wire::Resources room = m.unreserved();
-        for (auto& [a, e] : m.entries)
-            if (e.stop && !e.exited()) room += e.need;
-        return room;
-    };
     auto reserve = [&](Machine& m, wire::Resources room) {
         while (out.tasks < tasks && need.fits(room)) {
             room -= need;
@@ -793,12 +818,13 @@
                 continue;
             Job* other = find_job(a.task.job);
             if (!other || (other->spec.sort == Sort::gang && other->spec.tasks > 1)) continue;
-            double ran = e.running == TimePoint{} ? 0 : Seconds(now - e.running).count();
-            double lost = e.saves ? std::min(ran, 2.0) + other->spec.save_s : ran;
-            // A start counts for its users only if the task is left alone for a while.
-            if (ran < 30) lost += 10;
-            plan.victims.push_back(
-                {a, e.need, (lost + 2) * std::max(0.1, e.need.cpus) - 10.0 * static_cast<double>(e.level)});
+            // What another's guarantee covers goes on, unless this is within one as well: it would only be
+            // given its room back.
+            if (guarantees && e.account != quota::no_node &&
+                !ledger_.may_yield(e.account, e.need, job.account) &&
+                ledger_.covered(job.account, need, 1, ledger_.tree().common(e.account, job.account)) == 0)
+                continue;
+            plan.victims.push_back({a, e.need, loss(*other, e, now) - 10.0 * static_cast<double>(e.level)});
         }
         std::sort(plan.victims.begin(), plan.victims.end(), [](auto& x, auto& y) { return x.cost < y.cost; });
         std::size_t used = 0;
@@ -840,21 +866,74 @@
     return slack;
 }
 
+// Waiting tasks of a job, in order, onto the machines that suit it best. `make_way`: lower work may be
+// stopped where the image is, if a fetch would take too long. `may_fit`: false if its shape is known to fit
+// nowhere.
+Cluster::Served Cluster::serve(Job& job, std::uint32_t most, TimePoint now, bool make_way, bool may_fit) {
+    Served out;
+    const auto& s = job.spec;
+    std::vector<Machine*> ranked;
+    if (may_fit) ranked = rank(job, now);
+    std::size_t at = 0;
+    auto choose = [&]() -> Machine* {
+        for (; at < ranked.size(); ++at) {
+            if (s.need.fits(ranked[at]->unreserved()) && trusted(*ranked[at], job, now) &&
+                ranked[at]->entries.size() < most_tasks() && zone_ok(job, ranked[at]->zone))
+                return ranked[at];
+        }
+        return nullptr;
+    };
+    std::uint32_t cursor = 0;
+    while (auto next = job.waiting.next(cursor)) {
+        if (out.placed >= most || !ledger_.admits(job.account, s.need, 1)) break;
+        std::uint32_t index = *next;
+        Machine* m = choose();
+        // The worker refuses a second attempt of a task that it still lists.
+        if (m && m->holds_task({s.id, index})) {
+            touch(m->name);
+            break;
+        }
+        if (m && make_way && s.priority <= Priority::high && !m->has_image(s.image)) {
+            // The fetch alone would take longer than the start may: lower work yields where the image is.
+            double slack = start_slack(job, now);
+            if (slack > 0.2 && s.image_gb / m->fetch_gb_per_s > slack) {
+                auto made = make_room(job, 1, now, true);
+                if (made.tasks > 0) {
+                    out.stopped |= made.stopped;
+                    cursor = index + 1;
+                    continue;
+                }
+            }
+        }
+        if (!m) {
+            out.no_room = true;
+            break;
+        }
+        place(job, index, *m, next_attempt(), now);
+        ++out.placed;
+        cursor = index + 1;
+    }
+    return out;
+}
+
 bool Cluster::round(TimePoint now) {
     if (queue_.waiting() == 0 || now < distrust_until_) return false;
-    usage_.clear();
-    bool limited = std::any_of(rules_.teams.begin(), rules_.teams.end(),
-                               [](auto& t) { return t.second.cpus_max > 0 || t.second.gpus_max > 0; });
     for (auto& [name, m] : machines_) {
         m->reserved = {};
         m->free = m->room();
-        if (!limited) continue;
-        for (auto& [a, e] : m->entries)
-            if (!e.exited())
-                if (Job* job = find_job(a.task.job)) usage_[job->spec.team] += e.need;
     }
-    bool acted = false;
     std::size_t placed = 0;
+    if (!ledger_.tree().guarantees()) return serve_levels(now, placed);
+    bool acted = serve_guarantees(now, placed);
+    acted |= serve_levels(now, placed);
+    for (auto& [account, need] : promised_) ledger_.release(account, need);
+    promised_.clear();
+    return acted;
+}
+
+// The ordinary path: strict levels, first come first served.
+bool Cluster::serve_levels(TimePoint now, std::size_t placed) {
+    bool acted = false;
     // Shapes that fitted nowhere in this round need not be tried again: room only shrinks during a round. So
     // a long queue of like tasks costs one look, not a walk over all machines for each.
     std::set<std::string> misfits, stuck;  // stuck: no room can be made either
@@ -880,53 +959,16 @@
                 }
                 continue;
             }
-            std::vector<Machine*> ranked;
-            if (!misfits.contains(shape)) ranked = rank(*job, now);
-            std::size_t at = 0;
-            auto choose = [&]() -> Machine* {
-                for (; at < ranked.size(); ++at) {
-                    if (s.need.fits(ranked[at]->unreserved()) && trusted(*ranked[at], *job, now) &&
-                        ranked[at]->entries.size() < most_tasks() && zone_ok(*job, ranked[at]->zone))
-                        return ranked[at];
-                }
-                return nullptr;
-            };
-            std::uint32_t cursor = 0;
-            while (auto next = job->waiting.next(cursor)) {
-                if (placed >= most_starts_a_round || !team_has_room(*job, 1)) break;
-                std::uint32_t index = *next;
-                Machine* m = choose();
-                // The worker refuses a second attempt of a task that it still lists.
-                if (m && m->holds_task({id, index})) {
-                    touch(m->name);
-                    break;
-                }
-                if (m && s.priority <= Priority::high && !m->has_image(s.image)) {
-                    // The fetch alone would take longer than the start may: lower work yields where the image
-                    // is.
-                    double slack = start_slack(*job, now);
-                    if (slack > 0.2 && s.image_gb / m->fetch_gb_per_s > slack) {
-                        auto made = make_room(*job, 1, now, true);
-                        if (made.tasks > 0) {
-                            acted |= made.stopped;
-                            cursor = index + 1;
-                            continue;
-                        }
-                    }
-                }
-                if (!m) {
-                    if (anywhere) misfits.insert(shape);
-                    auto wanted = job->waiting.size();
-                    auto made = make_room(*job, wanted, now, false);
-                    acted |= made.stopped;
-                    if (anywhere && made.tasks < wanted && may_preempt(*job, now)) stuck.insert(key);
-                    break;
-                }
-                place(*job, index, *m, next_attempt(), now);
-                ++placed;
-                acted = true;
-                cursor = index + 1;
-            }
+            auto served = serve(*job, static_cast<std::uint32_t>(most_starts_a_round - placed), now, true,
+                                !misfits.contains(shape));
+            placed += served.placed;
+            acted |= served.placed > 0 || served.stopped;
+            if (!served.no_room) continue;
+            if (anywhere) misfits.insert(shape);
+            auto wanted = job->waiting.size();
+            auto made = make_room(*job, wanted, now, false);
+            acted |= made.stopped;
+            if (anywhere && made.tasks < wanted && may_preempt(*job, now)) stuck.insert(key);
         }
     }
     return acted;
@@ -998,6 +1040,7 @@
             }
         }
     }
+    shrink(now);
 }
 
 // ---- writes --------------------------------------------------------------------------------------------
--- a/src/placement/cluster.hpp
+++ b/src/placement/cluster.hpp
@@ -13,6 +13,7 @@
 #include "fleet/machine.hpp"
 #include "fleet/sheets.hpp"
 #include "queue/job_queue.hpp"
+#include "quota/reclaim.hpp"
 #include "state/records.hpp"
 
 namespace barrowrun::placement {
@@ -29,6 +30,9 @@
     double cpus_max = 0, gpus_max = 0;  // 0: none
 };
 
+// What the platform's file says of its teams, as the quotas' tree has it.
+std::vector<quota::Team> quota_teams(const std::map<std::string, TeamLimits>& teams);
+
 struct Objective {
     std::string kind, job_class;
     double within_s = 0, times = 1;
@@ -40,6 +44,8 @@
     std::vector<Objective> objectives;
     std::uint64_t queue_bound = queue::default_bound;
     std::size_t txn_ops = 16, value_bytes = 32 * 1024;
+    // The operator's tree of quotas; absent: the platform's teams alone.
+    std::optional<std::vector<quota::Line>> quotas;
     double idle_return_s = 12;
     std::uint32_t headroom_min = 3, headroom_max = 16;
 };
@@ -47,6 +53,7 @@
 struct Job {
     wire::JobSpec spec;
     std::int64_t accepted_ms = 0;
+    quota::NodeId account = quota::root;
     std::string shape;  // what it needs of a machine, as a key: like jobs fit alike
     TimePoint accepted{};
     IndexSet waiting, done, durable_done;
@@ -58,13 +65,13 @@
     TimePoint retry_at{};
     int errors_in_row = 0;
     std::set<std::string> failed_on;  // machines
-    // Failures of tasks, of a job that counts them: the attempts counted, and which of these counts are not on
-    // record yet. Until they are, the worker keeps the attempt and the task is not started again, so that a
-    // successor counts each exactly once.
+    // Failures of tasks, of a job that counts them: the attempts counted, and which of these counts are not
+    // on record yet. Until they are, the worker keeps the attempt and the task is not started again, so that
+    // a successor counts each exactly once.
     std::map<std::uint32_t, state::TaskErrors> errors;
     std::set<std::uint32_t> unrecorded_errors;
     std::optional<wire::ErrorCount> error_count;
-    double run_sum = 0;               // of its finished tasks
+    double run_sum = 0;  // of its finished tasks
     int runs = 0;
 
     bool finished() const { return done.size() == spec.tasks; }
@@ -84,10 +91,12 @@
     std::function<void()> durable;
 };
 
+// Bounds the time of a round and what its starts put into the line of writes; the next round follows at once.
+inline constexpr std::size_t most_starts_a_round = 400;
+
 class Cluster {
   public:
-    explicit Cluster(Rules rules)
-        : rules_(std::move(rules)), queue_(rules_.queue_bound), sheets_(rules_.value_bytes) {}
+    explicit Cluster(Rules rules);
 
     const Rules& rules() const { return rules_; }
     void set_types(std::vector<wire::MachineType> types);
@@ -101,6 +110,13 @@
     std::uint64_t token() const { return token_; }
     TimePoint acquired() const { return acquired_; }
 
+    // Quotas. `changed`: when a limit was last lowered, perhaps by a predecessor; what runs above it and
+    // doesn't save goes on for `shrink_s`.
+    void set_quotas(quota::TreePtr tree, TimePoint changed, double shrink_s);
+    const quota::Ledger& ledger() const { return ledger_; }
+    // Why a task of the job waits, in one line; empty: none does.
+    std::string explain(const Job& job, TimePoint now) const;
+
     // Jobs.
     Job& add_job(const state::JobRecord& record, const state::Progress* progress, TimePoint now,
                  std::int64_t wall_ms);
@@ -189,6 +205,29 @@
     // The machines that can take a task of the job, best first.
     std::vector<Machine*> rank(const Job& job, TimePoint now) const;
     void occupy(Job& job, const Attempt& a, Entry& e, const std::string& machine);
+    void release(Entry& e);
+    quota::NodeId account_of(const wire::JobSpec& spec) const;
+    // Starts waiting tasks of the job on free room, at most so many. What became of it:
+    struct Served {
+        std::size_t placed = 0;
+        bool stopped = false;  // something was stopped, to make room where the image is
+        bool no_room = false;  // a task found no machine
+    };
+    Served serve(Job& job, std::uint32_t most, TimePoint now, bool make_way, bool may_fit);
+    // Work within a guarantee comes first, and what others borrow yields to it.
+    bool serve_levels(TimePoint now, std::size_t placed);
+    bool serve_guarantees(TimePoint now, std::size_t& placed);
+    bool reclaim(Job& job, std::uint32_t tasks, TimePoint now);
+    // Brings nodes down to lowered limits.
+    void shrink(TimePoint now);
+    struct Held {
+        std::vector<quota::Unit> units;
+        std::vector<std::pair<Machine*, Attempt>> tasks;  // of each unit: itself, or one of its gang
+    };
+    // What runs and could be stopped. `hosts`: whose places are numbered; others aren't looked at.
+    Held held(const std::vector<Machine*>& hosts, TimePoint now) const;
+    double loss(const Job& job, const Entry& e, TimePoint now) const;
+    wire::Resources coming(const Machine& m) const;  // free once what is being stopped there is out
     state::MachineRecord record_of(const Machine& m, TimePoint now, std::int64_t wall_ms) const;
     std::size_t most_tasks() const;  // on one machine: its record must fit a value
     void drop_unsent(Machine& m);
@@ -200,7 +239,6 @@
     };
     Room make_room(Job& job, std::uint32_t tasks, TimePoint now, bool with_image);
     double start_slack(const Job& job, TimePoint now) const;  // until its tasks should have started
-    bool team_has_room(const Job& job, std::uint32_t tasks) const;
     void reconcile_reported(Machine& m, TimePoint now);
     void stop_gang(Job& job, double grace, TimePoint now, const char* why);
     // Whether a job has shown that its tasks can run: then a failure is the machine's.
@@ -221,7 +259,11 @@
     fleet::Sheets sheets_;
     std::set<std::string> dirty_jobs_, touched_;
     std::deque<Write> queued_;
-    std::unordered_map<std::string, wire::Resources> usage_;  // by team, during a round
+    quota::Ledger ledger_;
+    // Charged during a round: room that is being made for work within its guarantee.
+    std::vector<std::pair<quota::NodeId, wire::Resources>> promised_;
+    TimePoint quotas_changed_{};
+    double shrink_s_ = 120;
     std::uint64_t token_ = 0, first_token_ = 0, attempts_ = 0;
     TimePoint acquired_{}, distrust_until_{};
 };
--- a/src/wire/submission.cpp
+++ b/src/wire/submission.cpp
@@ -1,6 +1,7 @@
 #include "wire/submission.hpp"
 
 #include <algorithm>
+#include <string_view>
 
 namespace barrowrun::wire {
 namespace {
@@ -21,6 +22,11 @@
                                         {"withdrawn", Standing::cancelled},
                                         {"failed", Standing::failed}};
 
+constexpr std::string_view known_fields[] = {
+    "name_id", "docket",    "crew",     "sort",   "rank",    "parcels",    "vcpus",  "cards",
+    "mem_gb",  "cargo",     "image_gb", "builds", "yard",    "same_place", "spread", "loaners",
+    "haul_s",  "waymark_s", "stow_s",   "due_s",  "retries", "project"};
+
 template <class E, std::size_t N>
 std::optional<E> lookup(const Word<E> (&table)[N], const std::string& word) {
     for (auto& w : table)
@@ -131,7 +137,15 @@
         else
             s.retries = static_cast<std::uint32_t>(*n);
     }
+    if (find(body, "project")) take_text("project", s.project);
     if (!wrong.empty()) return wrong;
+    for (auto& [key, value] : body.items()) {
+        if (std::find(std::begin(known_fields), std::end(known_fields), key) != std::end(known_fields))
+            continue;
+        s.extra[key] = value;
+    }
+    if (!s.extra.is_null() && s.extra.dump(-1, ' ', false, Json::error_handler_t::replace).size() > max_extra)
+        s.extra = nullptr;
     return s;
 }
 
@@ -157,6 +171,8 @@
     if (s.zone) out["yard"] = *s.zone;
     if (s.deadline_s) out["due_s"] = *s.deadline_s;
     if (s.retries) out["retries"] = *s.retries;
+    if (!s.project.empty()) out["project"] = s.project;
+    if (s.extra.is_object()) out.insert(s.extra.begin(), s.extra.end());
     return out;
 }
 
@@ -189,7 +205,8 @@
 
 Json error_count_json(const ErrorCount& c) {
     Json out{{"count", c.errors}};
-    if (c.last) out["last"] = {{"parcel", c.last->task}, {"barrow", c.last->machine}, {"try", c.last->attempt}};
+    if (c.last)
+        out["last"] = {{"parcel", c.last->task}, {"barrow", c.last->machine}, {"try", c.last->attempt}};
     return out;
 }
 
--- a/src/wire/submission.hpp
+++ b/src/wire/submission.hpp
@@ -47,7 +47,13 @@
     // How often a task may fail and be tried again. One failure more ends the job as failed; absent: it is
     // tried until its user cancels it. Ours, not the platform's.
     std::optional<std::uint32_t> retries;
+    // Below the team, for nested quotas: "slips" or "slips/night"; empty: the team itself. Ours.
+    std::string project;
+    // Fields that this program doesn't know, as they came, up to a bound: a node of a newer program finds
+    // them in the record of a job that an older one accepted.
+    Json extra;
 };
+inline constexpr std::size_t max_extra = 1024;  // bytes, as JSON
 
 bool valid_job_id(std::string_view id);
 // The job, or what is wrong with it in one line.
--- a/src/workflow/driver.cpp
+++ b/src/workflow/driver.cpp
@@ -215,6 +215,7 @@
     spec.image = s->work.image;
     spec.estimate_s = s->work.estimate_s;
     spec.retries = s->work.retries;
+    spec.project = s->work.project;
     running_[s->job] = s;
     batch.push_back(s);
 }
--- a/src/workflow/graph.hpp
+++ b/src/workflow/graph.hpp
@@ -66,7 +66,7 @@
     bool must_produce = false, fresh_outputs = false, delete_on_error = true, limit_memory = false;
     std::vector<std::string> directories, touch, protect, logs;
     wire::Resources need{1, 0, 0.5};
-    std::string job_class = "flow", image = "none";
+    std::string job_class = "flow", image = "none", project;
     wire::Priority rank = wire::Priority::normal;
     std::uint32_t retries = 0;
     double estimate_s = 10;
--- a/src/workflow/make/makefile.cpp
+++ b/src/workflow/make/makefile.cpp
@@ -304,6 +304,7 @@
     w.retries = static_cast<std::uint32_t>(number("BARROW_RETRIES", scope, at, 0, 0, wire::max_retries));
     w.estimate_s = number("BARROW_ESTIMATE_S", scope, at, 10, 0, 1e6);
     if (auto c = strip(expander_.value("BARROW_CLASS", scope, at)); !c.empty()) w.job_class = c;
+    w.project = strip(expander_.value("BARROW_PROJECT", scope, at));
     if (auto r = strip(expander_.value("BARROW_RANK", scope, at)); !r.empty()) {
         auto rank = wire::priority_of(r);
         if (!rank)
