--- a/src/api/leader.hpp
+++ b/src/api/leader.hpp
@@ -4,12 +4,13 @@
 #include <memory>
 
 #include "api/quotas.hpp"
-#include "app/settings.hpp"
 #include "election/election.hpp"
 #include "fleet/cloud_client.hpp"
-#include "fleet/renting.hpp"
+#include "fleet/silence.hpp"
 #include "net/http_server.hpp"
 #include "placement/cluster.hpp"
+#include "renting/renting.hpp"
+#include "settings/settings.hpp"
 
 namespace barrowrun::api {
 
@@ -20,7 +21,7 @@
 // What every part of a node shares.
 struct Services {
     net::asio::io_context& io;
-    const app::Settings& settings;
+    const settings::Settings& settings;
     state::StateClient& state;
     fleet::CloudClient& cloud;
     net::HttpClient& workers;
@@ -31,6 +32,10 @@
 
 std::int64_t wall_ms();
 
+// Questions to machines beside their reports, at once: a share of what a process with a fraction of a core
+// can do.
+inline constexpr int asked_at_once = 16;
+
 class Leader : public std::enable_shared_from_this<Leader> {
   public:
     Leader(Services services, std::uint64_t token, TimePoint acquired);
@@ -80,12 +85,10 @@
     }
     void send_touched();
     void add(const state::JobRecord& record);
-    std::vector<std::string> silent(TimePoint now);
-    std::size_t recent(TimePoint now, Clock::duration window) const;  // machines heard within it
 
     Services services_;
     placement::Cluster cluster_;
-    fleet::Renting renting_;
+    renting::Renting renting_;
     net::Duties duties_;
     net::Signal place_wake_, write_wake_;
     TimePoint acquired_;
@@ -97,10 +100,8 @@
     std::map<std::string, TimePoint> early_answer_;  // leases renewed by then
     std::map<std::string, state::HireRecord> open_hires_;
     TimePoint last_hello_{};
-    // Until then this process hears late, having fallen behind itself: silence proves nothing about a
-    // machine.
-    TimePoint deaf_until_{};
-    std::deque<TimePoint> given_up_;  // silent machines returned, lately
+    fleet::Silence silence_;
+    TimePoint behind_until_{};        // as it was last said
     std::set<std::string> returned_;  // still listed for a while
 };
 
--- a/src/api/node.cpp
+++ b/src/api/node.cpp
@@ -11,7 +11,7 @@
 
 namespace {
 
-std::vector<election::Peer> peers_of(const app::Settings& s) {
+std::vector<election::Peer> peers_of(const settings::Settings& s) {
     std::vector<election::Peer> out;
     for (auto& m : s.members) {
         election::Peer p;
@@ -35,7 +35,7 @@
 
 }  // namespace
 
-Node::Node(net::asio::io_context& io, const app::Settings& settings)
+Node::Node(net::asio::io_context& io, const settings::Settings& settings)
     : io_(io),
       settings_(settings),
       state_(io, settings.state, settings.state_rps, settings.state_write_rps),
--- a/src/api/node.hpp
+++ b/src/api/node.hpp
@@ -8,7 +8,7 @@
 
 class Node {
   public:
-    Node(net::asio::io_context& io, const app::Settings& settings);
+    Node(net::asio::io_context& io, const settings::Settings& settings);
     void start();
 
   private:
@@ -37,7 +37,7 @@
     Leader* leader() { return leader_ && leader_->may_act() ? leader_.get() : nullptr; }
 
     net::asio::io_context& io_;
-    const app::Settings& settings_;
+    const settings::Settings& settings_;
     state::StateClient state_;
     fleet::CloudClient cloud_;
     net::HttpClient workers_, peers_;
--- /dev/null
+++ b/src/api/takeover.cpp
@@ -0,0 +1,100 @@
+// A term begins: the records are read, and every known worker hears of the new token.
+#include <spdlog/spdlog.h>
+
+#include "api/leader.hpp"
+
+namespace barrowrun::api {
+using state::Outcome;
+using namespace std::chrono_literals;
+
+Task<> Leader::load() {
+    auto begun = Clock::now();
+    std::optional<state::Snapshot> read;
+    while (!(read = co_await services_.state.snapshot())) {
+        spdlog::warn("the records could not be read, once more");
+        co_await net::sleep_for(200ms);
+    }
+    co_await load_quotas();
+    const auto& [jobs, progress, sheets, hires] = *read;
+    watch_from_ = jobs.revision;
+    if (services_.catalog.empty()) {
+        auto catalog = co_await services_.state.get(state::catalog_key);
+        if (catalog.outcome == Outcome::ok)
+            if (auto types = wire::parse_types(catalog.value)) services_.catalog = *types;
+    }
+    cluster_.set_types(services_.catalog);
+    auto now = Clock::now();
+    auto wall = wall_ms();
+    std::map<std::string, const Json*> by_job;
+    for (auto& p : progress.items) by_job[p.key.substr(9)] = &p.value;
+    std::size_t count = 0;
+    for (auto& item : jobs.items) {
+        auto record = state::parse_job_record(item.value);
+        if (!record) {
+            spdlog::error("the record {} cannot be read", item.key);
+            continue;
+        }
+        std::optional<state::Progress> done;
+        if (auto it = by_job.find(record->spec.id); it != by_job.end()) {
+            done = state::parse_progress(*it->second, record->spec.tasks);
+            if (!done) spdlog::error("the record progress/{} cannot be read", record->spec.id);
+        }
+        cluster_.add_job(*record, done ? &*done : nullptr, now, wall);
+        ++count;
+    }
+    for (auto& item : sheets.items) {
+        auto number = state::parse_sheet_key(item.key);
+        auto records = state::parse_sheet(item.value);
+        if (!number || !records) {
+            spdlog::error("the record {} cannot be read: nothing is started for a lease", item.key);
+            cluster_.distrust_records(number, acquired_ + longer(secs(services_.settings.rules.lease_s)));
+            continue;
+        }
+        for (auto& record : *records) cluster_.inherit(*number, record, acquired_, wall);
+    }
+    for (auto& item : hires.items)
+        if (auto hire = state::parse_hire(item.value)) open_hires_[item.key.substr(6)] = *hire;
+    for (auto& [name, report] : early_) cluster_.on_report(report, true, now);
+    for (auto& [name, when] : early_answer_)
+        if (auto* m = cluster_.find_machine(name)) m->last_answer = std::max(m->last_answer, when);
+    early_.clear();
+    early_answer_.clear();
+    loaded_ = true;
+    last_hello_ = now;
+    spdlog::info("took over after {:.0f} ms: {} active jobs, {} machines on record, {} rentals open",
+                 Seconds(now - begun).count() * 1000, count, cluster_.machines().size(), open_hires_.size());
+    // Every known worker hears of the new token at once: that fences the predecessor and brings fresh
+    // reports.
+    // Not all at once: a thousand connections took this process's whole share for seconds, the hold was not
+    // extended meanwhile, and the next leader did the same. Machines with replicas first.
+    auto names = std::make_shared<std::deque<std::string>>();
+    for (auto& [name, m] : cluster_.machines()) {
+        m->probed = now;
+        if (m->address.empty()) continue;
+        if (cluster_.runs_service(*m))
+            names->push_front(name);
+        else
+            names->push_back(name);
+    }
+    for (int i = 0; i < asked_at_once; ++i) spawn("fences", fence_known(names));
+    spawn("place", place_loop());
+    spawn("write", write_loop());
+    spawn("tick", tick_loop());
+    spawn("watch jobs", watch_jobs());
+    spawn("cloud types", cloud_types());
+    spawn("cloud list", cloud_list());
+    spawn("cloud rent", cloud_rent());
+    for (auto& [request, hire] : open_hires_) spawn("rent " + request, rent_one(request, hire, true));
+}
+
+Task<> Leader::fence_known(std::shared_ptr<std::deque<std::string>> names) {
+    while (!names->empty()) {
+        auto name = std::move(names->front());
+        names->pop_front();
+        // One that has reported to us by now knows our token.
+        auto* m = cluster_.find_machine(name);
+        if (m && !(m->up && m->token_seen >= cluster_.token())) co_await push(name, true);
+    }
+}
+
+}  // namespace barrowrun::api
--- /dev/null
+++ b/src/api/workers.cpp
@@ -0,0 +1,148 @@
+// A term's part with workers: reports, commands, questions.
+#include <spdlog/spdlog.h>
+
+#include "api/leader.hpp"
+
+namespace barrowrun::api {
+using net::http::verb;
+using namespace std::chrono_literals;
+
+Task<Response> Leader::hello(wire::Report report) {
+    auto self = shared_from_this();
+    const Response not_entitled{503, {{"error", "not entitled to act"}}};
+    if (!may_act()) co_return not_entitled;
+    auto now = Clock::now();
+    last_hello_ = now;
+    auto token = services_.election.token();
+    if (!loaded_) {
+        // Its lease is renewed while the records are still being read.
+        early_answer_[report.machine] = now;
+        auto [it, fresh] = early_.try_emplace(report.machine, report);
+        if (!fresh && std::pair(it->second.session, it->second.seq) < std::pair(report.session, report.seq))
+            it->second = report;
+        co_return Response{200, wire::report_answer(token, {})};
+    }
+    cluster_.lead(token, acquired_);
+    bool newer = cluster_.on_report(report, true, now);
+    auto* m = cluster_.find_machine(report.machine);
+    if (!m) co_return not_entitled;
+    if (!newer && report.session != m->session) co_return not_entitled;
+    // Not newer, but of this session: an answer to a push has overtaken it. The worker still waits for this
+    // one.
+    std::vector<wire::Command> commands;
+    if (newer && !m->returning) commands = cluster_.reply_commands(*m, now);
+    if (commands.size() > 300) commands.resize(300);
+    m->last_answer = now;
+    place_wake_.wake();
+    if (cluster_.has_writes()) write_wake_.wake();
+    send_touched();
+    co_return Response{200, wire::report_answer(token, commands)};
+}
+
+void Leader::send_touched() {
+    auto now = Clock::now();
+    for (auto& name : cluster_.take_touched()) {
+        auto* m = cluster_.find_machine(name);
+        if (!m || m->pushing || !m->push_ok || !m->up || m->address.empty() || m->returning) continue;
+        bool wanted = false;
+        for (auto& [a, e] : m->entries) {
+            if (e.exited()) continue;
+            if (e.stop ? (e.phase != fleet::Phase::recording && now - e.stop_sent > 1200ms)
+                       : e.phase == fleet::Phase::ready)
+                wanted = true;
+        }
+        if (wanted) spawn("push " + name, push(name, false));
+    }
+}
+
+Task<> Leader::push(std::string name, bool fence) {
+    bool again = true;
+    for (int round = 0; again && round < 5; ++round) {
+        again = false;
+        auto* m = cluster_.find_machine(name);
+        if (!m || m->pushing || m->returning || m->address.empty() || !may_act()) co_return;
+        auto now = Clock::now();
+        auto token = services_.election.token();
+        cluster_.lead(token, acquired_);
+        m->pushing = true;
+        auto session = m->session;
+        auto address = m->address;
+        std::vector<wire::Command> commands;
+        if (m->up) {
+            commands = cluster_.push_commands(*m, now);
+            for (auto& c : commands)
+                if (c.verb == wire::Verb::kill) m->entries.at(c.attempt).stop_sent = now;
+        }
+        if (commands.empty() && !fence) {
+            m->pushing = false;
+            co_return;
+        }
+        auto reply = co_await services_.workers.call(address, verb::post, "/commands",
+                                                     wire::push_body(token, session, commands), 1500ms);
+        m = cluster_.find_machine(name);
+        if (!m) co_return;
+        m->pushing = false;
+        now = Clock::now();
+        bool executed = reply.status == 200;
+        bool may_execute = reply.status == 0 && reply.may_execute;
+        cluster_.push_answered(*m, commands, token, executed, may_execute, now);
+        if (reply.status == 200 || reply.status == 409) {
+            m->push_ok = true;
+            auto report = wire::parse_report(reply.body);
+            if (report && report->machine == name) {
+                bool new_session = report->session != session;
+                cluster_.on_report(*report, false, now);
+                m = cluster_.find_machine(name);
+                // Refused for its session: once more with the right one. Refused for the token: another
+                // leads.
+                if (reply.status == 409) {
+                    if (report->token > services_.election.token()) {
+                        spdlog::warn("machine {} knows a newer token: {}", name, report->token);
+                        services_.election.doubt();
+                        co_return;
+                    }
+                    again = new_session;
+                } else {
+                    fence = false;
+                    again = true;
+                }
+            } else {
+                spdlog::error("machine {} answers with something that is no report", name);
+            }
+            place_wake_.wake();
+            if (cluster_.has_writes()) write_wake_.wake();
+        } else {
+            if (m->push_ok) spdlog::info("machine {} does not answer at its address", name);
+            m->push_ok = false;
+            m->probed = now;
+        }
+        if (again && !fence) {
+            // Only if there is something new to send.
+            again = false;
+            m = cluster_.find_machine(name);
+            if (!m) co_return;
+            for (auto& [a, e] : m->entries)
+                if (!e.exited() && !e.stop && e.phase == fleet::Phase::ready) again = true;
+        }
+    }
+}
+
+Task<> Leader::probe(std::string name) {
+    auto* m = cluster_.find_machine(name);
+    if (!m || m->address.empty()) co_return;
+    auto reply = co_await services_.workers.call(m->address, verb::get, "/inspect", std::nullopt, 1000ms);
+    m = cluster_.find_machine(name);
+    if (!m) co_return;
+    m->probing = false;
+    auto report = reply.status == 200 ? wire::parse_report(reply.body) : std::nullopt;
+    if (!report || report->machine != name) {
+        m->missed++;
+        co_return;
+    }
+    m->push_ok = true;
+    cluster_.on_report(*report, false, Clock::now());
+    place_wake_.wake();
+    send_touched();
+}
+
+}  // namespace barrowrun::api
--- a/src/app/main.cpp
+++ b/src/app/main.cpp
@@ -2,8 +2,8 @@
 #include <cstdio>
 
 #include "api/node.hpp"
-#include "app/logging.hpp"
-#include "app/settings.hpp"
+#include "base/logging.hpp"
+#include "settings/settings.hpp"
 
 int main(int argc, char** argv) {
     CLI::App cli{"barrowrun: a cluster scheduler with first-come queues, one per priority level"};
@@ -17,13 +17,13 @@
     cli.set_version_flag("--version", "barrowrun " BARROWRUN_VERSION);
     CLI11_PARSE(cli, argc, argv);
 
-    barrowrun::app::log_to_stderr("barrowrun");
+    barrowrun::base::log_to_stderr("barrowrun");
     const std::string* reading = &config;
     try {
-        auto settings = barrowrun::app::load_settings(config);
+        auto settings = barrowrun::settings::load_settings(config);
         if (!operators.empty()) {
             reading = &operators;
-            barrowrun::app::apply_operator_settings(settings, barrowrun::app::read_file(operators));
+            barrowrun::settings::apply_operator_settings(settings, barrowrun::settings::read_file(operators));
         }
         if (check) {
             std::puts("the settings are fine");
@@ -34,7 +34,7 @@
         node.start();
         spdlog::info("{} serves on {}", settings.node, settings.listen);
         io.run();
-    } catch (const barrowrun::app::SettingsError& e) {
+    } catch (const barrowrun::settings::SettingsError& e) {
         std::fprintf(stderr, "barrowrun: %s: %s\n", reading->c_str(), e.what());
         return 2;
     } catch (const std::exception& e) {
--- /dev/null
+++ b/src/base/clock.hpp
@@ -0,0 +1,23 @@
+#pragma once
+// Time, as everything here has it: the steady clock, and what its drift makes of a bound.
+#include <chrono>
+
+namespace barrowrun {
+using Clock = std::chrono::steady_clock;
+using TimePoint = Clock::time_point;
+using Seconds = std::chrono::duration<double>;
+
+inline Clock::duration secs(double s) {
+    return std::chrono::duration_cast<Clock::duration>(Seconds(s));
+}
+
+// Steady clocks of different machines drift apart by up to 0.05%; both sides of a comparison may be off, so
+// twice that and a little for timer steps.
+inline constexpr double drift = 0.001;
+inline Clock::duration longer(Clock::duration d) {
+    return std::chrono::duration_cast<Clock::duration>(d * (1 + drift)) + std::chrono::milliseconds(20);
+}
+inline Clock::duration shorter(Clock::duration d) {
+    return std::chrono::duration_cast<Clock::duration>(d * (1 - drift)) - std::chrono::milliseconds(20);
+}
+}  // namespace barrowrun
--- a/src/app/logging.hpp
+++ b/src/base/logging.hpp
@@ -7,7 +7,7 @@
 #include <memory>
 #include <string>
 
-namespace barrowrun::app {
+namespace barrowrun::base {
 
 inline void log_to_stderr(const char* name, const char* otherwise = "info") {
     auto logger = std::make_shared<spdlog::logger>(name, std::make_shared<spdlog::sinks::stderr_sink_st>());
@@ -21,4 +21,4 @@
                                           : spdlog::level::info);
 }
 
-}  // namespace barrowrun::app
+}  // namespace barrowrun::base
--- a/src/ctl/main.cpp
+++ b/src/ctl/main.cpp
@@ -1,7 +1,7 @@
 #include <CLI/CLI.hpp>
 #include <cstdio>
 
-#include "app/logging.hpp"
+#include "base/logging.hpp"
 #include "ctl/flows.hpp"
 #include "ctl/jobs.hpp"
 #include "ctl/quota.hpp"
@@ -85,7 +85,7 @@
     } catch (const CLI::ParseError& e) {
         return cli.exit(e) == 0 ? 0 : ctl::bad_input;
     }
-    app::log_to_stderr("barrowctl", "warn");
+    base::log_to_stderr("barrowctl", "warn");
     try {
         if (*submit) return ctl::submit(o, file, wait);
         if (*status) return ctl::status(o, id, output);
--- a/src/ctl/quota.cpp
+++ b/src/ctl/quota.cpp
@@ -8,7 +8,7 @@
 #include <map>
 #include <random>
 
-#include "app/settings.hpp"
+#include "settings/settings.hpp"
 #include "config/quotas.hpp"
 
 namespace barrowrun::ctl {
@@ -248,8 +248,8 @@
     };
     if (!call.settings.empty()) {
         try {
-            return verdict(placement::quota_teams(app::load_settings(call.settings).rules.teams));
-        } catch (const app::SettingsError& e) {
+            return verdict(placement::quota_teams(settings::load_settings(call.settings).rules.teams));
+        } catch (const settings::SettingsError& e) {
             throw Usage(call.settings + ": " + e.what());
         }
     }
--- a/src/election/authority.hpp
+++ b/src/election/authority.hpp
@@ -1,29 +1,9 @@
 #pragma once
 // When a leader may act, and when a follower may take over. Plain arithmetic on the steady clock.
-#include <chrono>
-#include <cstdint>
 #include <map>
 #include <string>
 
-namespace barrowrun {
-using Clock = std::chrono::steady_clock;
-using TimePoint = Clock::time_point;
-using Seconds = std::chrono::duration<double>;
-
-inline Clock::duration secs(double s) {
-    return std::chrono::duration_cast<Clock::duration>(Seconds(s));
-}
-
-// Steady clocks of different machines drift apart by up to 0.05%; both sides of a comparison may be off, so
-// twice that and a little for timer steps.
-inline constexpr double drift = 0.001;
-inline Clock::duration longer(Clock::duration d) {
-    return std::chrono::duration_cast<Clock::duration>(d * (1 + drift)) + std::chrono::milliseconds(20);
-}
-inline Clock::duration shorter(Clock::duration d) {
-    return std::chrono::duration_cast<Clock::duration>(d * (1 - drift)) - std::chrono::milliseconds(20);
-}
-}  // namespace barrowrun
+#include "base/clock.hpp"
 
 namespace barrowrun::election {
 
--- a/src/fleet/machine.hpp
+++ b/src/fleet/machine.hpp
@@ -7,7 +7,7 @@
 #include <unordered_map>
 #include <vector>
 
-#include "election/authority.hpp"
+#include "base/clock.hpp"
 #include "state/records.hpp"
 #include "wire/messages.hpp"
 
--- a/src/fleet/sheets.hpp
+++ b/src/fleet/sheets.hpp
@@ -10,7 +10,7 @@
 #include <unordered_map>
 #include <vector>
 
-#include "election/authority.hpp"
+#include "base/clock.hpp"
 #include "wire/submission.hpp"
 
 namespace barrowrun::fleet {
--- a/src/lab/cloud_model.hpp
+++ b/src/lab/cloud_model.hpp
@@ -7,7 +7,7 @@
 #include <string>
 #include <vector>
 
-#include "election/authority.hpp"
+#include "base/clock.hpp"
 #include "wire/messages.hpp"
 
 namespace barrowrun::lab {
--- a/src/lab/main.cpp
+++ b/src/lab/main.cpp
@@ -6,7 +6,7 @@
 #include <cstdio>
 #include <filesystem>
 
-#include "app/logging.hpp"
+#include "base/logging.hpp"
 #include "depot/files.hpp"
 #include "lab/cloud_service.hpp"
 #include "lab/site.hpp"
@@ -219,7 +219,7 @@
     fault->add_option("--for", for_s, "seconds")->check(CLI::Range(0.0, 3600.0));
     fault->add_option("--dir", dir, "the site's directory, if BARROWRUN_LAB is not set");
     CLI11_PARSE(cli, argc, argv);
-    app::log_to_stderr("lab", *state || *cloud ? "info" : "warn");
+    base::log_to_stderr("lab", *state || *cloud ? "info" : "warn");
     try {
         if (*state) return run_state(listen, file, limits);
         if (*cloud) return run_cloud(listen, dir, config);
--- a/src/lab/state_store.hpp
+++ b/src/lab/state_store.hpp
@@ -6,7 +6,7 @@
 #include <optional>
 #include <string>
 
-#include "election/authority.hpp"
+#include "base/clock.hpp"
 #include "store/sqlite.hpp"
 #include "wire/codec.hpp"
 
--- a/src/net/duties.hpp
+++ b/src/net/duties.hpp
@@ -9,7 +9,7 @@
 #include <memory>
 #include <string>
 
-#include "election/authority.hpp"
+#include "base/clock.hpp"
 
 namespace barrowrun::net {
 
--- a/src/net/reach.hpp
+++ b/src/net/reach.hpp
@@ -5,7 +5,7 @@
 #include <optional>
 #include <string>
 
-#include "election/authority.hpp"
+#include "base/clock.hpp"
 
 namespace barrowrun::net {
 
--- a/src/placement/cluster.cpp
+++ b/src/placement/cluster.cpp
@@ -5,6 +5,10 @@
 #include <algorithm>
 #include <cmath>
 
+#include "placement/faults.hpp"
+#include "placement/gangs.hpp"
+#include "placement/preemption.hpp"
+
 namespace barrowrun::placement {
 using fleet::Change;
 using wire::Cause;
@@ -14,11 +18,6 @@
 using wire::TaskState;
 
 namespace {
-// A job whose task ran that long can run: faulty machines fail theirs sooner.
-constexpr std::chrono::seconds proven_after{10};
-// A faulty machine that replicas keep rented is tried again after this.
-constexpr std::chrono::seconds faulty_for{60};
-
 std::size_t text_size(const wire::Json& value) {
     return value.dump(-1, ' ', false, wire::Json::error_handler_t::replace).size();
 }
@@ -393,8 +392,7 @@
     double ran = counted ? Seconds(now - e.running).count() : 0;
     switch (e.cause) {
         case Cause::done:
-            m.successes++;
-            m.errors = m.blamed = 0;
+            faults::succeeded(m);
             job->errors_in_row = 0;
             if (counted && job->spec.sort == Sort::array) {
                 job->run_sum += ran;
@@ -406,16 +404,12 @@
                 finish_task(*job, a.task.index);
             }
             break;
-        case Cause::error:
-            m.errors++;
-            m.last_error = now;
+        case Cause::error: {
             job->failed_on.insert(m.name);
             count_error(*job, m, a, now);
-            if (runs_well(*job, now)) {
-                // The machine's fault. A few of these once held a whole urgent array back: the task goes
-                // elsewhere at once.
-                m.blamed++;
-            } else {
+            const bool machines_fault = runs_well(*job, now);
+            faults::failed(m, machines_fault, now);
+            if (!machines_fault) {
                 job->errors_in_row++;
                 // One that fails wherever it goes speaks against itself: replicas must not be kept off every
                 // machine that it has tried.
@@ -432,6 +426,7 @@
             spdlog::info("{} failed on {} ({} errors in a row there, {} for the job)", a.task.str(), m.name,
                          m.errors, job->errors_in_row);
             break;
+        }
         case Cause::no_room:
         case Cause::busy:
         case Cause::unknown:
@@ -694,47 +689,25 @@
     // All or none: every task of the earlier attempt must be gone, and room must show for all at once.
     if (job.waiting.size() != job.spec.tasks || !job.places.empty()) return false;
     if (!ledger_.admits(job.account, job.spec.need, job.spec.tasks)) return false;
-    std::vector<std::string> zones{""};
-    if (job.spec.one_zone) {
-        std::set<std::string> all;
-        for (auto& [name, m] : machines_) all.insert(m->zone);
-        zones.clear();
-        for (auto& z : all) zones.push_back(z);
-    }
-    for (auto& zone : zones) {
-        std::vector<Machine*> where;
-        std::map<std::string, wire::Resources> taken;
-        std::map<std::string, std::uint32_t> in_zone;
-        for (std::uint32_t i = 0; i < job.spec.tasks; ++i) {
-            Machine* best = nullptr;
-            double best_score = 0;
-            for (auto& [name, mp] : machines_) {
-                Machine& m = *mp;
-                if (!zone.empty() && m.zone != zone) continue;
-                if (!usable(m, now) || !allowed(job.spec, m) || !trusted(m, job, now) || m.slowness > 1.8)
-                    continue;
-                if (job.spec.spread && in_zone[m.zone] + 1 > (job.spec.tasks + 1) / 2) continue;
-                wire::Resources room = m.unreserved();
-                if (auto t = taken.find(name); t != taken.end()) room -= t->second;
-                if (!job.spec.need.fits(room)) continue;
-                double score = (m.has_image(job.spec.image) ? 0 : -job.spec.image_gb / m.fetch_gb_per_s) -
-                               (job.failed_on.contains(name) ? 1000 : 0) - m.errors * 20.0 +
-                               (m.spot ? 2 : 0) -
-                               (room.cpus - job.spec.need.cpus) / std::max(1.0, m.capacity.cpus);
-                if (!best || score > best_score) best = &m, best_score = score;
-            }
-            if (!best) break;
-            where.push_back(best);
-            taken[best->name] += job.spec.need;
-            in_zone[best->zone]++;
-        }
-        if (where.size() != job.spec.tasks) continue;
-        std::uint64_t attempt = next_attempt();
-        for (std::uint32_t i = 0; i < job.spec.tasks; ++i) place(job, i, *where[i], attempt, now);
-        spdlog::info("gang {} starts as attempt {} on {} machines", job.spec.id, attempt, taken.size());
-        return true;
+    std::vector<gangs::Host> hosts;
+    std::vector<Machine*> machines;
+    std::set<std::string> zones;
+    for (auto& [name, mp] : machines_) {
+        Machine& m = *mp;
+        zones.insert(m.zone);
+        if (!usable(m, now) || !allowed(job.spec, m) || !trusted(m, job, now) || m.slowness > 1.8) continue;
+        double merit = (m.has_image(job.spec.image) ? 0 : -job.spec.image_gb / m.fetch_gb_per_s) -
+                       (job.failed_on.contains(name) ? 1000 : 0) - m.errors * 20.0 + (m.spot ? 2 : 0);
+        hosts.push_back({m.zone, m.unreserved(), m.capacity.cpus, merit});
+        machines.push_back(&m);
     }
-    return false;
+    auto where = gangs::choose(job.spec, hosts, {zones.begin(), zones.end()});
+    if (where.empty()) return false;
+    const std::uint64_t attempt = next_attempt();
+    for (std::uint32_t i = 0; i < job.spec.tasks; ++i) place(job, i, *machines[where[i]], attempt, now);
+    spdlog::info("gang {} starts as attempt {} on {} machines", job.spec.id, attempt,
+                 std::set<std::size_t>(where.begin(), where.end()).size());
+    return true;
 }
 
 wire::Resources Cluster::preemptible(const Machine& m, Priority level, bool kept) const {
@@ -778,24 +751,9 @@
     const bool kept_only = job.spec.priority > Priority::high;
     const bool guarantees = ledger_.tree().guarantees();
     const auto& need = job.spec.need;
-    struct Victim {
-        Attempt a;
-        wire::Resources need;
-        double cost;
-    };
-    struct Plan {
-        Machine* machine;
-        std::vector<Victim> victims;
-        double cost = 0;
-    };
-    auto reserve = [&](Machine& m, wire::Resources room) {
-        while (out.tasks < tasks && need.fits(room)) {
-            room -= need;
-            m.reserved += need;
-            ++out.tasks;
-        }
-    };
-    std::vector<Plan> plans;
+    std::vector<preemption::Option> options;
+    std::vector<Machine*> machines;
+    std::vector<Attempt> victims;
     for (auto& [name, mp] : machines_) {
         Machine& m = *mp;
         if (out.tasks >= tasks) return out;
@@ -808,10 +766,14 @@
         if (with_image && !m.has_image(job.spec.image)) continue;
         wire::Resources room = coming(m);
         if (need.fits(room)) {
-            reserve(m, room);
+            for (; out.tasks < tasks && need.fits(room); room -= need) {
+                m.reserved += need;
+                ++out.tasks;
+            }
             continue;
         }
-        Plan plan{&m, {}, m.has_image(job.spec.image) ? 0 : 10 * job.spec.image_gb / m.fetch_gb_per_s};
+        preemption::Option option{
+            room, {}, m.has_image(job.spec.image) ? 0 : 10 * job.spec.image_gb / m.fetch_gb_per_s};
         for (auto& [a, e] : m.entries) {
             if (e.exited() || e.stop || !e.may_yield || e.level <= job.spec.priority ||
                 (kept_only && !e.saves))
@@ -824,37 +786,36 @@
                 !ledger_.may_yield(e.account, e.need, job.account) &&
                 ledger_.covered(job.account, need, 1, ledger_.tree().common(e.account, job.account)) == 0)
                 continue;
-            plan.victims.push_back({a, e.need, loss(*other, e, now) - 10.0 * static_cast<double>(e.level)});
-        }
-        std::sort(plan.victims.begin(), plan.victims.end(), [](auto& x, auto& y) { return x.cost < y.cost; });
-        std::size_t used = 0;
-        while (used < plan.victims.size() && !need.fits(room)) {
-            room += plan.victims[used].need;
-            plan.cost += plan.victims[used++].cost;
+            option.victims.push_back(
+                {victims.size(), e.need, loss(*other, e, now) - 10.0 * static_cast<double>(e.level)});
+            victims.push_back(a);
         }
-        plan.victims.resize(used);
-        if (need.fits(room) && used > 0) plans.push_back(std::move(plan));
+        if (option.victims.empty()) continue;
+        options.push_back(std::move(option));
+        machines.push_back(&m);
     }
-    std::stable_sort(plans.begin(), plans.end(), [](auto& x, auto& y) { return x.cost < y.cost; });
     std::size_t stopped = 0, on = 0;
-    for (auto& plan : plans) {
-        if (out.tasks >= tasks) break;
-        for (auto& v : plan.victims) {
-            Job* other = find_job(v.a.task.job);
+    const Machine* first = nullptr;
+    for (auto& step : preemption::plan(std::move(options), need, tasks - out.tasks)) {
+        Machine& m = *machines[step.option];
+        if (!first) first = &m;
+        for (auto v : step.stop) {
+            const Attempt& a = victims[v];
+            Job* other = find_job(a.task.job);
             // Saving comes first unless users would wait for it: a replica is late, or would be.
             bool hurry =
                 job.spec.sort == Sort::service && other && start_slack(job, now) < other->spec.save_s + 1;
-            note_stop(*plan.machine, v.a, plan.machine->entries.at(v.a),
-                      other && !hurry ? grace_for(*other) : 0, now, "preempted");
+            note_stop(m, a, m.entries.at(a), other && !hurry ? grace_for(*other) : 0, now, "preempted");
             ++stopped;
         }
         out.stopped = true;
         ++on;
-        reserve(*plan.machine, coming(*plan.machine));
+        for (std::uint32_t k = 0; k < step.tasks; ++k) m.reserved += need;
+        out.tasks += step.tasks;
     }
     if (stopped)
         spdlog::info("{} makes room on {} machines, {} first: {} lower tasks stop", job.spec.id, on,
-                     plans.front().machine->name, stopped);
+                     first->name, stopped);
     return out;
 }
 
@@ -982,48 +943,26 @@
             if (m == machines_.end()) continue;
             auto e = m->second->entries.find({{job.spec.id, index}, number});
             if (e != m->second->entries.end() && !e->second.exited() && e->second.running != TimePoint{} &&
-                now - e->second.running > proven_after)
+                now - e->second.running > faults::proven_after)
                 return true;
         }
     return false;
 }
 
 bool Cluster::trusted(const Machine& m, const Job& job, TimePoint now) const {
-    if (m.errors == 0 || now - m.last_error > faulty_for) return true;
-    if (job.spec.sort == Sort::service || (m.blamed > 0 && job.failed_on.contains(m.name))) return false;
-    return std::none_of(m.entries.begin(), m.entries.end(),
-                        [&](auto& kv) { return !kv.second.exited() && kv.second.since >= m.last_error; });
-}
-
-void Cluster::judge(Machine& m, TimePoint now) {
-    if (m.faulty && now - *m.faulty > faulty_for && m.live() > 0) {
-        // What held it may be over, and what runs on it keeps it rented: one trial.
-        m.faulty.reset();
-        m.errors = 1;
-        m.blamed = 0;
-    }
-    if (m.faulty || m.drain || m.errors < 2) return;
-    bool faulty = m.blamed >= 2;
-    if (!faulty && m.errors >= 3) {
-        // Jobs that failed on few machines speak against it; one that fails wherever it goes does not. Each
-        // job counts for itself: many faulty machines once shielded one another.
-        faulty = std::any_of(jobs_.begin(), jobs_.end(), [&](auto& kv) {
-            return kv.second->failed_on.contains(m.name) &&
-                   (kv.second->failed_on.size() < 3 || runs_well(*kv.second, now));
-        });
-        if (!faulty) m.errors = 0;
-    }
-    if (!faulty) return;
-    spdlog::warn("machine {} fails its tasks ({} in a row): it gets no more, and is returned when empty",
-                 m.name, m.errors);
-    m.faulty = now;
+    return faults::trusted(m, job.spec.sort == Sort::service, job.failed_on.contains(m.name), now);
 }
 
 void Cluster::tick(TimePoint now) {
     for (auto& [name, mp] : machines_) {
         Machine& m = *mp;
         if (m.live() > 0) m.idle_since = now;
-        judge(m, now);
+        faults::judge(m, now, [&] {
+            return std::any_of(jobs_.begin(), jobs_.end(), [&](auto& kv) {
+                return kv.second->failed_on.contains(m.name) &&
+                       (kv.second->failed_on.size() < 3 || runs_well(*kv.second, now));
+            });
+        });
         if (m.taken_at || m.drain) {
             for (auto& [a, e] : m.entries) {
                 if (e.exited() || e.stop) continue;
--- a/src/placement/cluster.hpp
+++ b/src/placement/cluster.hpp
@@ -243,9 +243,7 @@
     void stop_gang(Job& job, double grace, TimePoint now, const char* why);
     // Whether a job has shown that its tasks can run: then a failure is the machine's.
     bool runs_well(const Job& job, TimePoint now) const;
-    // A machine under suspicion gets no replicas, nothing that failed on it, and one trial at a time.
     bool trusted(const Machine& m, const Job& job, TimePoint now) const;
-    void judge(Machine& m, TimePoint now);
     bool may_reap(const Attempt& a, const Entry& e) const;
     double grace_for(const Job& job) const { return job.spec.checkpoint_s > 0 ? job.spec.save_s + 1.0 : 0.0; }
     std::uint64_t next_attempt() { return (first_token_ << 20) + ++attempts_; }
--- /dev/null
+++ b/src/placement/faults.cpp
@@ -0,0 +1,49 @@
+#include "placement/faults.hpp"
+
+#include <spdlog/spdlog.h>
+
+#include <algorithm>
+
+namespace barrowrun::placement::faults {
+
+void succeeded(fleet::Machine& m) {
+    m.successes++;
+    m.errors = m.blamed = 0;
+}
+
+void failed(fleet::Machine& m, bool job_runs_well, TimePoint now) {
+    m.errors++;
+    m.last_error = now;
+    // A few of these once held a whole urgent array back: the task goes elsewhere at once.
+    if (job_runs_well) m.blamed++;
+}
+
+bool trusted(const fleet::Machine& m, bool replica, bool failed_here, TimePoint now) {
+    if (m.errors == 0 || now - m.last_error > faulty_for) return true;
+    if (replica || (m.blamed > 0 && failed_here)) return false;
+    return std::none_of(m.entries.begin(), m.entries.end(),
+                        [&](auto& kv) { return !kv.second.exited() && kv.second.since >= m.last_error; });
+}
+
+void judge(fleet::Machine& m, TimePoint now, const std::function<bool()>& speaks_against) {
+    if (m.faulty && now - *m.faulty > faulty_for && m.live() > 0) {
+        // What held it may be over, and what runs on it keeps it rented: one trial.
+        m.faulty.reset();
+        m.errors = 1;
+        m.blamed = 0;
+    }
+    if (m.faulty || m.drain || m.errors < 2) return;
+    bool faulty = m.blamed >= 2;
+    if (!faulty && m.errors >= 3) {
+        // Jobs that failed on few machines speak against it; one that fails wherever it goes does not. Each
+        // job counts for itself: many faulty machines once shielded one another.
+        faulty = speaks_against();
+        if (!faulty) m.errors = 0;
+    }
+    if (!faulty) return;
+    spdlog::warn("machine {} fails its tasks ({} in a row): it gets no more, and is returned when empty",
+                 m.name, m.errors);
+    m.faulty = now;
+}
+
+}  // namespace barrowrun::placement::faults
--- a/src/fleet/renting.cpp
+++ b/src/renting/renting.cpp
@@ -1,11 +1,13 @@
-#include "fleet/renting.hpp"
+#include "renting/renting.hpp"
 
 #include <spdlog/spdlog.h>
 
 #include <algorithm>
 #include <cmath>
 
-namespace barrowrun::fleet {
+namespace barrowrun::renting {
+using fleet::Machine;
+using fleet::Phase;
 using placement::Cluster;
 using placement::Job;
 using wire::Sort;
@@ -440,4 +442,4 @@
     return out;
 }
 
-}  // namespace barrowrun::fleet
+}  // namespace barrowrun::renting
--- a/src/fleet/renting.hpp
+++ b/src/renting/renting.hpp
@@ -7,7 +7,7 @@
 
 #include "placement/cluster.hpp"
 
-namespace barrowrun::fleet {
+namespace barrowrun::renting {
 
 struct Offer {
     std::string type, zone;
@@ -54,4 +54,4 @@
     std::deque<std::pair<TimePoint, std::uint32_t>> service_arrivals_;  // tasks of services, lately
 };
 
-}  // namespace barrowrun::fleet
+}  // namespace barrowrun::renting
--- a/src/app/operator_settings.cpp
+++ b/src/settings/operator_settings.cpp
@@ -1,9 +1,9 @@
-#include "app/operator_schema.hpp"
-#include "app/settings.hpp"
 #include "config/quotas.hpp"
 #include "config/schema.hpp"
+#include "settings/operator_schema.hpp"
+#include "settings/settings.hpp"
 
-namespace barrowrun::app {
+namespace barrowrun::settings {
 
 void apply_operator_settings(Settings& s, const std::string& text) {
     wire::Json given;
@@ -33,4 +33,4 @@
     if (auto v = wire::count(given, "headroom_max")) s.rules.headroom_max = static_cast<std::uint32_t>(*v);
 }
 
-}  // namespace barrowrun::app
+}  // namespace barrowrun::settings
--- a/src/app/settings.cpp
+++ b/src/settings/settings.cpp
@@ -1,4 +1,4 @@
-#include "app/settings.hpp"
+#include "settings/settings.hpp"
 
 #include <cmath>
 #include <fstream>
@@ -6,7 +6,7 @@
 
 #include "net/http_client.hpp"
 
-namespace barrowrun::app {
+namespace barrowrun::settings {
 namespace {
 
 using wire::Json;
@@ -118,4 +118,4 @@
     return parse_settings(read_file(path));
 }
 
-}  // namespace barrowrun::app
+}  // namespace barrowrun::settings
--- a/src/app/settings.hpp
+++ b/src/settings/settings.hpp
@@ -6,7 +6,7 @@
 
 #include "placement/cluster.hpp"
 
-namespace barrowrun::app {
+namespace barrowrun::settings {
 
 struct SettingsError : std::runtime_error {
     using std::runtime_error::runtime_error;
@@ -34,4 +34,4 @@
 void apply_operator_settings(Settings& settings, const std::string& text);
 std::string read_file(const std::string& path);
 
-}  // namespace barrowrun::app
+}  // namespace barrowrun::settings
--- a/src/worker/machine.hpp
+++ b/src/worker/machine.hpp
@@ -9,7 +9,7 @@
 #include <string>
 #include <vector>
 
-#include "election/authority.hpp"
+#include "base/clock.hpp"
 #include "wire/messages.hpp"
 #include "wire/submission.hpp"
 
--- a/src/worker/main.cpp
+++ b/src/worker/main.cpp
@@ -1,7 +1,7 @@
 #include <CLI/CLI.hpp>
 #include <cstdio>
 
-#include "app/logging.hpp"
+#include "base/logging.hpp"
 #include "config/schema.hpp"
 #include "worker/agent.hpp"
 
@@ -14,7 +14,7 @@
     cli.add_flag("--check-config", check, "check the settings and end");
     cli.set_version_flag("--version", "barrowrun-worker " BARROWRUN_VERSION);
     CLI11_PARSE(cli, argc, argv);
-    barrowrun::app::log_to_stderr("worker");
+    barrowrun::base::log_to_stderr("worker");
     try {
         auto text = barrowrun::depot::read_all(file);
         if (!text) throw barrowrun::config::ConfigError("the file cannot be read");
--- a/tests/guarantees_test.cpp
+++ b/tests/guarantees_test.cpp
@@ -245,7 +245,7 @@
     auto service = f.of("wk-2", "crew", 4, Priority::production);
     service.sort = Sort::service;
     f.add(service);
-    fleet::Renting renting;
+    renting::Renting renting;
     EXPECT_TRUE(renting.plan(*f.cluster, f.now).rent.empty());
     f.cluster->set_quotas(build("", two_teams(0)), f.now, 60);
     EXPECT_FALSE(renting.plan(*f.cluster, f.now).rent.empty());
--- a/tests/renting_test.cpp
+++ b/tests/renting_test.cpp
@@ -2,11 +2,11 @@
 
 using namespace barrowrun;
 using namespace barrowrun::testing;
-using fleet::Offer;
-using fleet::Renting;
+using renting::Offer;
+using renting::Renting;
 
 namespace {
-int count(const fleet::RentPlan& plan, bool spot) {
+int count(const renting::RentPlan& plan, bool spot) {
     int n = 0;
     for (auto& o : plan.rent)
         if (o.offer.spot == spot) n += o.count;
@@ -74,7 +74,7 @@
     }
     EXPECT_LE(plan.rent.size(), 8u);
     // What is asked for already is not asked for again.
-    std::vector<fleet::Order> coming;
+    std::vector<renting::Order> coming;
     for (auto& o : plan.rent) coming.push_back(o);
     EXPECT_EQ(count(Renting().plan(*f.cluster, f.now, coming), false), 0);
 }
--- a/tests/settings_test.cpp
+++ b/tests/settings_test.cpp
@@ -1,8 +1,8 @@
-#include "app/settings.hpp"
+#include "settings/settings.hpp"
 
 #include <gtest/gtest.h>
 
-using namespace barrowrun::app;
+using namespace barrowrun::settings;
 using barrowrun::wire::Json;
 
 namespace {
--- a/tests/support.hpp
+++ b/tests/support.hpp
@@ -2,7 +2,7 @@
 // A fake clock and a small fleet for the decision tests.
 #include <gtest/gtest.h>
 
-#include "fleet/renting.hpp"
+#include "renting/renting.hpp"
 #include "placement/cluster.hpp"
 
 namespace barrowrun::testing {
