--- a/src/api/node.cpp
+++ b/src/api/node.cpp
@@ -183,11 +183,18 @@
         co_return Response{200, wire::status_json(*s)};
     }
     if (target == "/peer/quota") {
+        // Not as a conditional expression in the call: GCC 12 destroys such temporaries of a coroutine twice,
+        // which ended the leader whenever a follower passed a question on.
         auto query = wire::text(*body, "target").value_or("");
-        auto change = wire::find(*body, "change");
-        co_return co_await quotas(query, change != nullptr, change ? *change : Json::object(), true);
+        Json change = Json::object();
+        const Json* given = wire::find(*body, "change");
+        if (given) change = *given;
+        co_return co_await quotas(std::move(query), given != nullptr, std::move(change), true);
+    }
+    if (target == "/peer/explain") {
+        auto id = wire::text(*body, "id").value_or("");
+        co_return co_await explain(std::move(id), true);
     }
-    if (target == "/peer/explain") co_return co_await explain(wire::text(*body, "id").value_or(""), true);
     if (target == "/peer/submit") {
         auto spec = wire::parse_submission(*body);
         if (!std::holds_alternative<wire::JobSpec>(spec)) co_return problem(400, "malformed");
@@ -324,8 +331,9 @@
         Json ask{{"target", target}};
         if (change) ask["change"] = std::move(body);
         // A change waits for the state service; without an answer it may have been made.
-        if (auto answer = co_await ask_leader("/peer/quota", std::move(ask), change ? 4500ms : 1500ms))
-            co_return std::move(*answer);
+        const Clock::duration patience = change ? 4500ms : 1500ms;
+        auto answer = co_await ask_leader("/peer/quota", std::move(ask), patience);
+        if (answer) co_return std::move(*answer);
     }
     co_return problem(503, "no leader can be reached", 1);
 }
@@ -355,10 +363,12 @@
     if (known_quotas_ && known_quotas_->project(spec.team, spec.project)) co_return std::nullopt;
     // It may have been added since: a refusal needs a fresh look. Where none can be had the job is taken, and
     // charged to the nearest node above.
-    auto [outcome, book] = co_await read_quotas(state_, settings_.rules.value_bytes);
+    quota::Book book;
+    const auto outcome = co_await read_quotas(state_, settings_.rules.value_bytes, book);
     if (outcome != QuotasRead::ok && outcome != QuotasRead::none) co_return std::nullopt;
-    auto built = quota::Tree::build(outcome == QuotasRead::ok ? book.lines() : *settings_.rules.quotas,
-                                    placement::quota_teams(settings_.rules.teams));
+    auto lines = *settings_.rules.quotas;
+    if (outcome == QuotasRead::ok) lines = book.lines();
+    auto built = quota::Tree::build(std::move(lines), placement::quota_teams(settings_.rules.teams));
     if (!built.tree) co_return std::nullopt;
     known_quotas_ = built.tree;
     if (known_quotas_->project(spec.team, spec.project)) co_return std::nullopt;
--- a/src/api/quotas.cpp
+++ b/src/api/quotas.cpp
@@ -41,26 +41,29 @@
     return differ == 0;
 }
 
-net::Task<std::pair<QuotasRead, Book>> read_quotas(state::StateClient& state, std::size_t value_bytes) {
+net::Task<QuotasRead> read_quotas(state::StateClient& state, std::size_t value_bytes, Book& out) {
     std::string trouble;
     for (int tries = 0; tries < 3; ++tries) {
         auto list = co_await state.list(quota::key_prefix);
-        if (!list.ok) co_return std::pair(QuotasRead::no_answer, Book());
+        if (!list.ok) co_return QuotasRead::no_answer;
         std::map<std::string, Json> records;
         for (auto& item : list.items) records[item.key] = std::move(item.value);
-        if (!records.contains(quota::head_key)) co_return std::pair(QuotasRead::none, Book());
+        if (!records.contains(quota::head_key)) co_return QuotasRead::none;
         auto book = Book::read(records, value_bytes);
         auto head = co_await state.get(quota::head_key);
-        if (head.outcome != Outcome::ok) co_return std::pair(QuotasRead::no_answer, Book());
+        if (head.outcome != Outcome::ok) co_return QuotasRead::no_answer;
         // Changed while it was read: a slot may hold what is older or newer than the head says.
         if (head.value != records[quota::head_key]) continue;
-        if (auto* b = std::get_if<Book>(&book)) co_return std::pair(QuotasRead::ok, std::move(*b));
+        if (auto* b = std::get_if<Book>(&book)) {
+            out = std::move(*b);
+            co_return QuotasRead::ok;
+        }
         trouble = std::get<std::string>(book);
         break;
     }
-    if (trouble.empty()) co_return std::pair(QuotasRead::no_answer, Book());
+    if (trouble.empty()) co_return QuotasRead::no_answer;
     spdlog::error("the quotas on record can't be used ({})", trouble);
-    co_return std::pair(QuotasRead::unusable, Book());
+    co_return QuotasRead::unusable;
 }
 
 // ---- a term's part -------------------------------------------------------------------------------------
@@ -79,7 +82,8 @@
     const auto teams = placement::quota_teams(rules.teams);
     book_ = Book(*rules.quotas, rules.value_bytes);
     for (;;) {
-        auto [outcome, book] = co_await read_quotas(services_.state, rules.value_bytes);
+        Book book;
+        const auto outcome = co_await read_quotas(services_.state, rules.value_bytes, book);
         if (outcome == QuotasRead::no_answer) {
             co_await net::sleep_for(200ms);
             continue;
--- a/src/api/quotas.hpp
+++ b/src/api/quotas.hpp
@@ -12,8 +12,8 @@
     no_answer,  // the service did not say: read again
 };
 
-// One version whole: pages are read before the head, and the head once more.
-net::Task<std::pair<QuotasRead, quota::Book>> read_quotas(state::StateClient& state, std::size_t value_bytes);
+// One version whole into `book`: pages are read before the head, and the head once more.
+net::Task<QuotasRead> read_quotas(state::StateClient& state, std::size_t value_bytes, quota::Book& book);
 
 // Takes as long whatever they have in common.
 bool same_secret(const std::string& given, const std::string& kept);
--- a/src/placement/guarantees.cpp
+++ b/src/placement/guarantees.cpp
@@ -100,6 +100,8 @@
 // what is promised to another.
 bool Cluster::serve_guarantees(TimePoint now, std::size_t& placed) {
     bool acted = false;
+    const auto deepest = ledger_.deepest_unused();
+    if (deepest == 0) return acted;
     std::size_t plans = 0;
     std::set<std::string> misfits;
     std::set<std::pair<quota::NodeId, std::string>> in_vain;
@@ -109,7 +111,7 @@
             Job* job = find_job(p.id);
             if (job && !job->cancelled && now >= job->retry_at) order.push_back(job);
         }
-    for (auto depth = ledger_.tree().deepest_guarantee(); depth > 0; --depth)
+    for (auto depth = deepest; depth > 0; --depth)
         for (Job* job : order) {
             if (placed >= most_starts_a_round) return acted;
             const auto& s = job->spec;
--- a/src/quota/ledger.cpp
+++ b/src/quota/ledger.cpp
@@ -63,6 +63,17 @@
     return tree_->node(n).depth == depth ? covered_by(n, need, wanted) : 0;
 }
 
+std::uint32_t Ledger::deepest_unused() const {
+    std::uint32_t deepest = 0;
+    for (NodeId n : tree_->guaranteed()) {
+        const Node& node = tree_->node(n);
+        if (node.depth > deepest &&
+            (used_[n].cpus < node.guarantee.cpus - eps || used_[n].gpus < node.guarantee.gpus - eps))
+            deepest = node.depth;
+    }
+    return deepest;
+}
+
 std::uint32_t Ledger::covered_by(NodeId n, const Resources& need, std::uint32_t wanted) const {
     const Node& node = tree_->node(n);
     if (!node.guaranteed()) return 0;
--- a/src/quota/ledger.hpp
+++ b/src/quota/ledger.hpp
@@ -30,6 +30,8 @@
     // The same for the level of one depth alone.
     std::uint32_t covered_at(std::uint32_t depth, NodeId account, const Resources& need,
                              std::uint32_t wanted) const;
+    // The depth of the deepest level that has some of its guarantee unused; 0: none has.
+    std::uint32_t deepest_unused() const;
     // And how many of these no limit refuses now.
     std::uint32_t entitled(NodeId account, const Resources& need, std::uint32_t wanted) const {
         return admitted(account, need, covered(account, need, wanted));
--- a/src/quota/tree.cpp
+++ b/src/quota/tree.cpp
@@ -234,7 +234,10 @@
         }
         id_of[i] = id;
         tree->limits_ |= n.bounded();
-        if (n.guaranteed()) tree->guarantees_ = std::max(tree->guarantees_, n.depth);
+        if (n.guaranteed()) {
+            tree->guarantees_ = std::max(tree->guarantees_, n.depth);
+            tree->guaranteed_.push_back(id);
+        }
         tree->nodes_.push_back(std::move(n));
         below.emplace_back();
     }
--- a/src/quota/tree.hpp
+++ b/src/quota/tree.hpp
@@ -92,15 +92,16 @@
     std::optional<NodeId> project(const std::string& team, const std::string& project) const;
     NodeId common(NodeId a, NodeId b) const;  // nearest that holds both
     bool within(NodeId n, NodeId ancestor) const { return common(n, ancestor) == ancestor; }
-    bool limits() const { return limits_; }                          // any node has one
-    bool guarantees() const { return guarantees_ > 0; }              // any node has one
-    std::uint32_t deepest_guarantee() const { return guarantees_; }  // its depth; 0: there is none
+    bool limits() const { return limits_; }              // any node has one
+    bool guarantees() const { return guarantees_ > 0; }  // any node has one
+    const std::vector<NodeId>& guaranteed() const { return guaranteed_; }
 
   private:
     std::uint64_t version_ = 0;
     std::vector<Node> nodes_;
     std::vector<Line> lines_;
     std::unordered_map<std::string, NodeId> by_path_, by_team_;
+    std::vector<NodeId> guaranteed_;
     bool limits_ = false;
     std::uint32_t guarantees_ = 0;
 };
--- a/tests/fuzz/untrusted.cpp
+++ b/tests/fuzz/untrusted.cpp
@@ -1,6 +1,7 @@
 // What comes over the network or in files of others, byte by byte as it may come. With clang:
 //   clang++ -std=c++20 -g -fsanitize=fuzzer,address,undefined -Isrc tests/fuzz/untrusted.cpp src/wire/*.cpp
-//     src/depot/*.cpp src/lab/state_store.cpp src/store/*.cpp src/state/records.cpp -lsqlite3 -lxxhash
+//     src/depot/*.cpp src/lab/state_store.cpp src/store/*.cpp src/state/records.cpp src/quota/tree.cpp
+//     src/quota/book.cpp -DSPDLOG_HEADER_ONLY -lsqlite3 -lxxhash
 // Built by CI with a driver of its own, which plays a fixed number of changed messages.
 #include <cstddef>
 #include <cstdint>
@@ -9,6 +10,7 @@
 
 #include "depot/depot.hpp"
 #include "lab/state_store.hpp"
+#include "quota/book.hpp"
 #include "state/records.hpp"
 #include "wire/messages.hpp"
 #include "wire/submission.hpp"
@@ -44,6 +46,22 @@
     wire::parse_machine_list(*body);
     if (auto p = state::parse_progress(*body, 50))
         if (!state::parse_progress(state::to_json(*p, 50), 50)) std::abort();
+    // Changes of quotas, and the records that they leave.
+    auto change = quota::parse_change(*body);
+    if (auto* c = std::get_if<quota::Change>(&change)) {
+        if (!std::holds_alternative<quota::Change>(quota::parse_change(quota::to_json(*c)))) std::abort();
+        static const std::vector<quota::Team> teams{{"c", {10, {}, {}}, {2, {}, {}}}};
+        auto next = quota::Book({{"a", "", "", {4, {}, {}}, {}}, {"t", "a", "c", {}, {}}}).next(*c, teams, 0);
+        if (auto* good = std::get_if<quota::Book::Next>(&next)) {
+            std::map<std::string, wire::Json> records;
+            for (auto& w : good->writes) records[w.key] = w.value;
+            auto read = quota::Book::read(records, 16 * 1024);
+            if (!std::holds_alternative<quota::Book>(read) ||
+                std::get<quota::Book>(read).lines() != good->book.lines())
+                std::abort();
+        }
+    }
+    quota::Book::read({{quota::head_key, *body}, {"quota/0a", *body}}, 16 * 1024);
     state::parse_past(*body);
     state::parse_sheet(*body);
     try {
