--- a/src/api/quotas.cpp
+++ b/src/api/quotas.cpp
@@ -80,7 +80,7 @@
     const auto& rules = services_.settings.rules;
     if (!rules.quotas) co_return;
     const auto teams = placement::quota_teams(rules.teams);
-    book_ = Book(*rules.quotas, rules.value_bytes);
+    book_ = Book(*rules.quotas, rules.value_bytes, rules.shrink_s);
     for (;;) {
         Book book;
         const auto outcome = co_await read_quotas(services_.state, rules.value_bytes, book);
--- a/src/placement/cluster.hpp
+++ b/src/placement/cluster.hpp
@@ -46,6 +46,7 @@
     std::size_t txn_ops = 16, value_bytes = 32 * 1024;
     // The operator's tree of quotas; absent: the platform's teams alone.
     std::optional<std::vector<quota::Line>> quotas;
+    double shrink_s = 120;  // as in quota::Book, until a change says otherwise
     double idle_return_s = 12;
     std::uint32_t headroom_min = 3, headroom_max = 16;
 };
--- a/src/quota/book.cpp
+++ b/src/quota/book.cpp
@@ -125,7 +125,8 @@
                  wire::count(v, "dropped").value_or(0)};
 }
 
-Book::Book(std::vector<Line> lines, std::size_t value_bytes) : page_bytes_(value_bytes / 3) {
+Book::Book(std::vector<Line> lines, std::size_t value_bytes, double shrink_s)
+    : shrink_s_(shrink_s), page_bytes_(value_bytes / 3) {
     std::size_t bytes = 0;
     for (auto& l : lines) {
         auto n = bytes_of(l);
--- a/src/quota/book.hpp
+++ b/src/quota/book.hpp
@@ -45,7 +45,7 @@
 class Book {
   public:
     // Version 0: the operator's file, or nothing but the platform's teams.
-    explicit Book(std::vector<Line> lines = {}, std::size_t value_bytes = 16 * 1024);
+    explicit Book(std::vector<Line> lines = {}, std::size_t value_bytes = 16 * 1024, double shrink_s = 120);
     // From the records under `quota/`. Nothing: they can't be read, and why.
     static std::variant<Book, std::string> read(const std::map<std::string, Json>& records,
                                                 std::size_t value_bytes);
--- a/src/settings/operator_settings.cpp
+++ b/src/settings/operator_settings.cpp
@@ -28,6 +28,7 @@
         auto built = quota::Tree::build(file.set, placement::quota_teams(s.rules.teams));
         if (!built.tree) throw SettingsError("quotas: " + built.faults.front().str());
         s.rules.quotas = std::move(file.set);
+        s.rules.shrink_s = file.shrink_s.value_or(s.rules.shrink_s);
     }
     s.operator_key = wire::text(given, "operator_key").value_or("");
     if (auto v = wire::count(given, "headroom_max")) s.rules.headroom_max = static_cast<std::uint32_t>(*v);
