--- a/tests/guarantees_test.cpp
+++ b/tests/guarantees_test.cpp
@@ -577,6 +577,6 @@
     }
     EXPECT_GT(started, histories);
     EXPECT_GT(takeovers, histories / 2);
-    std::printf("%llu histories, %zu takeovers, %zu attempts on machines at their ends\n", takeovers,
+    std::printf("%llu histories, %zu takeovers, %zu attempts on machines at their ends\n", static_cast<unsigned long long>(histories), takeovers,
                 started);
 }
