Quotas: dead parts of the ledger removed; one piece marks what stops

Need: entitled() and borrowed() had no caller left; one_more() marked stopped units beside stopped(); a comment stood over the wrong declaration.

--- a/src/placement/cluster.hpp
+++ b/src/placement/cluster.hpp
@@ -215,8 +215,9 @@
         bool no_room = false;  // a task found no machine
     };
     Served serve(Job& job, std::uint32_t most, TimePoint now, bool make_way, bool may_fit);
-    // Work within a guarantee comes first, and what others borrow yields to it.
+    // The ordinary path, after what has been placed already.
     bool serve_levels(TimePoint now, std::size_t placed);
+    // Work within a guarantee comes first, and what others borrow yields to it.
     bool serve_guarantees(TimePoint now, std::size_t& placed);
     bool reclaim(Job& job, std::uint32_t tasks, TimePoint now);
     // Brings nodes down to lowered limits.
--- a/src/quota/ledger.cpp
+++ b/src/quota/ledger.cpp
@@ -106,10 +106,4 @@
     return out;
 }
 
-Resources Ledger::borrowed(NodeId n) const {
-    Resources out = used_[n];
-    out -= tree_->node(n).guarantee;
-    return out;
-}
-
 }  // namespace barrowrun::quota
--- a/src/quota/ledger.hpp
+++ b/src/quota/ledger.hpp
@@ -32,17 +32,11 @@
                              std::uint32_t wanted) const;
     // The depth of the deepest level that has some of its guarantee unused; 0: none has.
     std::uint32_t deepest_unused() const;
-    // And how many of these no limit refuses now.
-    std::uint32_t entitled(NodeId account, const Resources& need, std::uint32_t wanted) const {
-        return admitted(account, need, covered(account, need, wanted));
-    }
     // Whether a held task may be stopped for the sake of `to`: at every level that the two don't share its
     // holder keeps its guarantee without it. What is borrowed may yield; what is guaranteed may not.
     bool may_yield(NodeId holder, const Resources& need, NodeId to) const;
     // By how much a node is over its limit, per amount; zeros: it isn't.
     Resources over(NodeId n) const;
-    // What the node uses beyond its guarantee, or has of it unused (negative), per amount.
-    Resources borrowed(NodeId n) const;
 
   private:
     std::uint32_t covered_by(NodeId n, const Resources& need, std::uint32_t wanted) const;
--- a/src/quota/reclaim.cpp
+++ b/src/quota/reclaim.cpp
@@ -259,27 +259,20 @@
         auto limited = make_admitted();
         if (!limited) return false;
         if (!limited->empty()) {
-            for (auto u : *limited)
-                for (auto& p : units_[u].parts) rooms_[p.host] += p.need;
-            for (auto u : *limited) gone_[u] = 1;
+            stopped(*limited);
             priced_.assign(priced_.size(), 0);
         }
         auto undo = [&] {
             for (auto u : *limited) {
                 gone_[u] = 0;
+                out_.stop.pop_back();
+                out_.loss -= units_[u].loss;
                 give_back(u);
                 for (auto& p : units_[u].parts) rooms_[p.host] -= p.need;
             }
         };
-        auto keep = [&] {
-            for (auto u : *limited) {
-                out_.stop.push_back(u);
-                out_.loss += units_[u].loss;
-            }
-        };
         for (std::uint32_t h = 0; h < rooms_.size(); ++h)
             if (want_.need.fits(rooms_[h])) {
-                keep();
                 placed(h);
                 fill();
                 return true;
@@ -294,7 +287,6 @@
             undo();
             return false;
         }
-        keep();
         stopped(price_[*best]->second);
         placed(*best);
         fill();
