A session heard of by a push has a lease of its own: tasks ran twice after long cuts

Cause: a new leader counted a machine's lease from its acquisition or the last answered report. A worker that was cut off for longer than a lease begins a new session, with a lease of its own from its beginning. When the leader hears of that session first by the answer to a push (it asks every known worker for its token), it places tasks there at once, and the next tick took them for gone, since a lease had passed since the acquisition; they were started elsewhere while they ran.

Change: Machine::lease_end counts from when a session was first heard of, too.

The new test fails without the change.

--- a/src/fleet/machine.cpp
+++ b/src/fleet/machine.cpp
@@ -63,6 +63,7 @@
         images.clear();
         fetching_.clear();
     }
+    if (!up || report.session > session) session_known = now;
     up = true;
     session = report.session;
     seq = report.seq;
--- a/src/fleet/machine.hpp
+++ b/src/fleet/machine.hpp
@@ -43,6 +43,7 @@
     // Of its job, kept here so that a look at a machine needs no look-up of jobs.
     wire::Priority level = wire::Priority::low;
     bool may_yield = false;  // no replica: lower work may be stopped for higher
+    bool service = false;
     bool saves = false;
     bool exited() const { return phase == Phase::seen && state == wire::TaskState::exited; }
 };
@@ -66,10 +67,11 @@
     bool up = false;                    // its worker has reported to us
     std::optional<TimePoint> taken_at;  // spot notice: when the cloud takes it, as nominally announced
     TimePoint known{}, rented{}, last_report{}, last_answer{}, idle_since{}, probed{};
-    bool returning = false;  // a return request is out, or will be
-    bool drain = false;      // to be emptied and returned
-    bool suspect = false;    // silent, to be proven empty
-    bool push_ok = true;     // its address answers us
+    TimePoint session_known{};  // when we first heard of the session: it began no later
+    bool returning = false;     // a return request is out, or will be
+    bool drain = false;         // to be emptied and returned
+    bool suspect = false;       // silent, to be proven empty
+    bool push_ok = true;        // its address answers us
     bool pushing = false, probing = false;
     int missed = 0;                 // questions in a row that it did not answer
     int errors = 0, successes = 0;  // failures in a row
@@ -80,6 +82,7 @@
     wire::Resources capacity;
     // In a placing round: room, and what of it is kept for tasks that lower work was stopped for.
     wire::Resources free, reserved;
+    bool refile = false;  // its place among the rooms is out of date
     double cache_gb = 0, fetch_gb_per_s = 0.1;
     std::unordered_map<wire::Attempt, Entry, wire::AttemptHash> entries;
     std::list<std::pair<std::string, double>> images;  // most recently used first, as far as we can tell
@@ -103,9 +106,12 @@
                std::vector<Change>& changes);
     // The machine is proven empty: gone, or its lease has run out.
     void clear(std::vector<Change>& changes);
-    // When its lease has certainly run out if we don't answer it again.
+    // When its lease has certainly run out if we don't answer it again. A new session has a lease of its own
+    // from its beginning, without any answer of ours. We may hear of it, and start tasks in it, by an answer
+    // of /commands or /inspect alone: counted from the last answered report those tasks were taken for gone
+    // at once, and ran twice (docs/incidents/session-known-by-push.md).
     TimePoint lease_end(double lease_s, TimePoint acquired) const {
-        return std::max({last_answer, acquired, known}) + longer(secs(lease_s));
+        return std::max({last_answer, acquired, known, session_known}) + longer(secs(lease_s));
     }
     // What to tell the worker now. `launches` says whether launches may go with it.
     std::vector<wire::Command> commands(
--- a/tests/machine_test.cpp
+++ b/tests/machine_test.cpp
@@ -124,3 +124,34 @@
     EXPECT_FALSE(fleet::hears_the_fleet(0, 3));
     EXPECT_FALSE(fleet::hears_the_fleet(0, 0));
 }
+
+// A zone is cut off for longer than a lease; its worker is in a new session when it can be reached again, and
+// the first to be heard of it is the answer to a push. That session's lease is young, whoever was last
+// answered.
+TEST_F(MachineTest, ASessionHeardOfByAPushHasALeaseOfItsOwn) {
+    f.restart(50);
+    state::MachineRecord record;
+    record.name = "n-1";
+    record.address = "127.0.0.1:9", record.type = "small", record.zone = "a";
+    f.cluster->inherit(0, record, f.now, f.wall);
+    f.now += 37s;  // longer than the lease of 20 s since the acquisition
+    auto fresh = f.report("n-1", {}, 50);
+    fresh.session = 2;
+    f.cluster->on_report(fresh, false, f.now);
+    auto& job = f.add(f.spec("wk-1"));
+    f.place_all();
+    ASSERT_EQ(job.places.size(), 1u);
+    EXPECT_GE(f.machine("n-1").lease_end(20, f.cluster->acquired()), f.now + 20s);
+    // The same for a session that follows one whose reports were answered.
+    f.machine("n-1").last_answer = f.now;
+    f.now += 30s;
+    fresh.session = 3, ++fresh.seq;
+    f.cluster->on_report(fresh, false, f.now);
+    EXPECT_GE(f.machine("n-1").lease_end(20, f.cluster->acquired()), f.now + 20s);
+    // A further report of a session known already does not prolong it.
+    auto end = f.machine("n-1").lease_end(20, f.cluster->acquired());
+    f.now += 5s;
+    ++fresh.seq;
+    f.cluster->on_report(fresh, false, f.now);
+    EXPECT_EQ(f.machine("n-1").lease_end(20, f.cluster->acquired()), end);
+}
