A node that is cut off with its zone keeps its workers' leases; a silent zone is not returned

Need: when a zone was cut off, all that ran in it was lost: 368 of its machines were returned within 40 s for their silence, another 220 in the seconds after the cut, and the leases of the rest ran out, as no node answered. Replicas with a place in that zone alone could not move meanwhile.

Change: src/leases. A node that hears neither leader nor state service answers reports of its own zone with the leader's token and no command, entitled by the leader's last answer to its sign of life, for cancel_s - lease_s at most and for no machine that may hold a task of a cancelled job. The leader takes a lease for over only when no node can have answered (Cover). Machines of a zone of which little is heard are not given up for their silence. A node that finds its own key again sets it anew before it leads, so that no two terms share a token.

--- a/bench/quota_day.cpp
+++ b/bench/quota_day.cpp
@@ -51,6 +51,7 @@
 class Day {
   public:
     explicit Day(std::uint64_t seed) : random_(seed) {
+        rules_.lease_s = 1e6;  // its workers are always answered
         rules_.teams["counterops"] = {};
         rules_.teams["helpline"] = {};
         tree_ = build(800);
--- a/src/api/leader.cpp
+++ b/src/api/leader.cpp
@@ -22,11 +22,24 @@
       write_wake_(services.io),
       acquired_(acquired),
       silence_(
-          {secs(services.settings.rules.report_s), secs(services.settings.rules.lease_s), asked_at_once}) {
+          {secs(services.settings.rules.report_s), secs(services.settings.rules.lease_s), asked_at_once}),
+      cover_(services.settings.member_names(), services.settings.keep_leases(), acquired) {
     cluster_.lead(token, acquired);
     cluster_.set_types(services_.catalog);
 }
 
+std::optional<leases::Grant> Leader::grant() const {
+    if (!loaded_ || services_.settings.keep_leases() <= Clock::duration::zero()) return std::nullopt;
+    return leases::Grant{services_.election.token(), cover_.stamp(Clock::now()), false,
+                         cluster_.holding_cancelled()};
+}
+
+std::optional<leases::Grant> Leader::heard(const std::string& node, const leases::Sign& sign) {
+    auto out = grant();
+    cover_.heard(node, sign, services_.election.token(), Clock::now(), out.has_value());
+    return out;
+}
+
 void Leader::start() {
     spawn("load", load());
 }
@@ -239,7 +252,8 @@
         }
         if (!may_act()) continue;
         cluster_.lead(services_.election.token(), acquired_);
-        const bool moved = cluster_.tick(now);
+        const bool moved =
+            cluster_.tick(now, [&](const std::string& zone) { return cover_.answered(zone, now); });
         const auto& rules = services_.settings.rules;
         int asked = 0;
         for (auto& [name, m] : cluster_.machines()) {
--- a/src/api/leader.hpp
+++ b/src/api/leader.hpp
@@ -7,6 +7,7 @@
 #include "election/election.hpp"
 #include "fleet/cloud_client.hpp"
 #include "fleet/silence.hpp"
+#include "leases/leases.hpp"
 #include "net/http_server.hpp"
 #include "placement/cluster.hpp"
 #include "renting/renting.hpp"
@@ -59,6 +60,9 @@
     Response quota_page(std::uint64_t since, std::uint64_t page) const;
     Task<Response> change_quotas(Json change);
     std::optional<Json> explain(const std::string& id) const;
+    // Another node's sign of life; what it may keep until the next, if its answer may say so.
+    std::optional<leases::Grant> heard(const std::string& node, const leases::Sign& sign);
+    std::optional<leases::Grant> grant() const;
     std::uint64_t quota_version() const { return book_.version(); }
     const quota::Tree& quota_tree() const { return cluster_.ledger().tree(); }
 
@@ -101,6 +105,7 @@
     std::map<std::string, state::HireRecord> open_hires_;
     TimePoint last_hello_{};
     fleet::Silence silence_;
+    leases::Cover cover_;
     TimePoint behind_until_{};        // as it was last said
     std::set<std::string> returned_;  // still listed for a while
 };
--- a/src/api/node.cpp
+++ b/src/api/node.cpp
@@ -45,7 +45,18 @@
       election_(io, settings.node, peers_of(settings), state_, peers_,
                 election::Timing{settings.leader_hold, settings.promise}),
       public_server_(io, static_cast<std::size_t>(settings.max_connections * 0.55)),
-      peer_server_(io, static_cast<std::size_t>(settings.max_connections * 0.1)) {
+      peer_server_(io, static_cast<std::size_t>(settings.max_connections * 0.1)),
+      keeper_(settings.zone, settings.keep_leases(), Clock::now()) {
+    election_.sign = [this] {
+        auto now = Clock::now();
+        // A leader's right at this moment is its contact: a successor's time begins later.
+        if (auto* l = leader())
+            if (auto grant = l->grant()) keeper_.leads(now, std::move(*grant));
+        return leases::to_json(keeper_.sign(now));
+    };
+    election_.on_grant = [this](TimePoint sent, const Json& value) {
+        if (auto grant = leases::parse_grant(value)) keeper_.granted(sent, Clock::now(), std::move(*grant));
+    };
     election_.on_lead = [this](std::uint64_t token, TimePoint acquired) {
         Services services{io_, settings_, state_, cloud_, workers_, peers_, election_, catalog_};
         leader_ = std::make_shared<Leader>(services, token, acquired);
@@ -151,6 +162,10 @@
         bool leads = leader() != nullptr;
         Json answer{{"state_ok", state_.answers(Clock::now())}, {"leading", leads}};
         answer["waiting"] = leads ? leader_->waiting() : 0;
+        if (const Json* value = wire::find(*body, "leases"); value && leads)
+            if (auto sign = leases::parse_sign(*value))
+                if (auto grant = leader_->heard(wire::text(*body, "from").value_or(""), *sign))
+                    answer["leases"] = leases::to_json(*grant);
         co_return Response{200, std::move(answer)};
     }
     if (target == "/peer/abstain") {
@@ -499,13 +514,17 @@
     if (!decoded) co_return problem(400, "not MessagePack");
     auto report = wire::parse_report(*decoded);
     if (!report) co_return problem(400, "not a report");
-    if (leader_) {
-        auto kept = leader_;
-        if (!kept->may_act()) co_return problem(503, "not entitled to act");
-        co_return co_await kept->hello(std::move(*report));
-    }
-    // Sent to the leader; one that comes back soon could not reach it, and is served by way of this node.
     auto now = Clock::now();
+    if (auto kept = leader_; kept && kept->may_act()) co_return co_await kept->hello(std::move(*report));
+    // Cut off together with the worker: it keeps its lease for a while, and what it runs goes on.
+    if (keeper_.may_keep(*report, now, !state_.answers(now))) {
+        if (now - kept_said_ > 30s)
+            spdlog::info("cut off from leader and state service: this node keeps the leases of its zone");
+        kept_said_ = now;
+        co_return Response{200, wire::report_answer(keeper_.token(), {})};
+    }
+    if (leader_) co_return problem(503, "not entitled to act");
+    // Sent to the leader; one that comes back soon could not reach it, and is served by way of this node.
     auto name = election_.leader_name();
     if (name.empty()) co_return problem(503, "no leader is known");
     auto [it, fresh] = redirected_.try_emplace(report->machine, TimePoint{});
--- a/src/api/node.hpp
+++ b/src/api/node.hpp
@@ -45,6 +45,8 @@
     std::vector<wire::MachineType> catalog_;
     net::HttpServer public_server_, peer_server_;
     std::shared_ptr<Leader> leader_;
+    leases::Keeper keeper_;
+    TimePoint kept_said_{};
     quota::TreePtr known_quotas_;                      // as last read, to check projects without the lead
     std::map<std::string, wire::JobStatus> finished_;  // final states seen, bounded
     std::map<std::string, TimePoint> redirected_;      // workers sent to the leader, and when
--- a/src/election/election.cpp
+++ b/src/election/election.cpp
@@ -84,10 +84,17 @@
             co_return;
         }
         hold_ = record->hold;
-        stamp_ = record->stamp;
+        stamp_ = record->stamp + 1;
+        // Under a token of its own: an earlier term of this process may have sent commands under the one on
+        // record, and a worker that knows it would seem to have settled them.
+        state::LeaderRecord anew{node_, incarnation_, hold_, stamp_};
+        std::vector<state::Condition> conditions{{state::leader_key, current->version}};
+        std::vector<state::Operation> operations{{state::leader_key, state::to_json(anew), hold_}};
+        auto stamped = co_await state_.txn(conditions, operations, 1000ms, state::Pace::free);
         sent = Clock::now();
-        if (co_await state_.extend_hold(hold_, 800ms) == Outcome::ok && abstention_.free(Clock::now())) {
-            become_leader(current->version, sent);
+        if (stamped.outcome == Outcome::ok && co_await state_.extend_hold(hold_, 800ms) == Outcome::ok &&
+            abstention_.free(Clock::now())) {
+            become_leader(stamped.revision, sent);
         } else {
             co_await net::sleep_for(200ms);
         }
@@ -269,14 +276,20 @@
         for (auto& p : peers_) {
             auto ask = [](Election* self, Peer* peer, bool ok) -> Task<> {
                 Json body{{"from", self->node_}, {"state_ok", ok}};
+                if (self->sign)
+                    if (auto s = self->sign()) body["leases"] = std::move(*s);
+                auto sent = Clock::now();
                 auto reply = co_await self->peer_client_.call(peer->address, verb::post, "/peer/ping",
                                                               std::move(body), 800ms);
-                if (auto line = peer->reach.note(reply.status == 200, Clock::now())) spdlog::info("{}", *line);
+                if (auto line = peer->reach.note(reply.status == 200, Clock::now()))
+                    spdlog::info("{}", *line);
                 if (reply.status != 200) co_return;
                 peer->heard = Clock::now();
                 peer->state_ok = wire::flag(reply.body, "state_ok").value_or(false);
                 peer->leading = wire::flag(reply.body, "leading").value_or(false);
                 peer->waiting = wire::count(reply.body, "waiting").value_or(0);
+                if (const Json* grant = wire::find(reply.body, "leases"); grant && self->on_grant)
+                    self->on_grant(sent, *grant);
             };
             net::asio::co_spawn(io_, ask(this, &p, answered), net::asio::detached);
         }
--- a/src/fleet/machine.hpp
+++ b/src/fleet/machine.hpp
@@ -106,7 +106,8 @@
                std::vector<Change>& changes);
     // The machine is proven empty: gone, or its lease has run out.
     void clear(std::vector<Change>& changes);
-    // When its lease has certainly run out if we don't answer it again. A new session has a lease of its own
+    // When its lease has certainly run out if we don't answer it again; `acquired`: until when others may have
+    // answered it. A new session has a lease of its own
     // from its beginning, without any answer of ours. We may hear of it, and start tasks in it, by an answer
     // of /commands or /inspect alone: counted from the last answered report those tasks were taken for gone
     // at once, and ran twice (docs/incidents/session-known-by-push.md).
--- a/src/fleet/silence.hpp
+++ b/src/fleet/silence.hpp
@@ -34,7 +34,8 @@
   private:
     SilenceRules rules_;
     TimePoint deaf_until_{};
-    std::deque<TimePoint> given_up_;  // lately
+    std::deque<TimePoint> given_up_;                  // lately
+    std::map<std::string, TimePoint> patient_until_;  // with zones that are cut off, or were just now
 };
 
 // Of how much of the fleet something was heard within the window.
--- a/src/placement/cluster.cpp
+++ b/src/placement/cluster.cpp
@@ -181,6 +181,15 @@
     mark_dirty(job);
 }
 
+std::set<std::string> Cluster::holding_cancelled() const {
+    std::set<std::string> out;
+    for (auto& [id, job] : jobs_)
+        if (job->cancelled)
+            for (auto& [index, list] : job->places)
+                for (auto& [name, number] : list) out.insert(name);
+    return out;
+}
+
 void Cluster::unplace(Job& job, std::uint32_t index, const std::string& machine, std::uint64_t attempt) {
     auto it = job.places.find(index);
     if (it != job.places.end()) {
--- a/src/placement/rounds.cpp
+++ b/src/placement/rounds.cpp
@@ -445,11 +445,17 @@
     return faults::trusted(m, job.spec.sort == Sort::service, job.failed_on.contains(m.name), now);
 }
 
-bool Cluster::tick(TimePoint now) {
+bool Cluster::tick(TimePoint now, const std::function<TimePoint(const std::string&)>& others) {
     bool moved = false;
+    std::map<std::string, TimePoint> by_zone;
+    auto answered = [&](const std::string& zone) {
+        auto [it, fresh] = by_zone.try_emplace(zone, acquired_);
+        if (fresh && others) it->second = std::max(acquired_, others(zone));
+        return it->second;
+    };
     for (auto& [name, mp] : machines_) {
         Machine& m = *mp;
-        if (!m.entries.empty() && now >= m.lease_end(rules_.lease_s, acquired_)) {
+        if (!m.entries.empty() && now >= m.lease_end(rules_.lease_s, answered(m.zone))) {
             lease_over(m, now);
             moved = true;
         }
--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -118,4 +118,14 @@
     return parse_settings(read_file(path));
 }
 
+Clock::duration Settings::keep_leases() const {
+    return keeps_leases ? leases::keep_for(rules.lease_s, rules.cancel_s) : Clock::duration::zero();
+}
+
+std::set<std::string> Settings::member_names() const {
+    std::set<std::string> out;
+    for (auto& m : members) out.insert(m.name);
+    return out;
+}
+
 }  // namespace barrowrun::settings
--- a/src/settings/settings.hpp
+++ b/src/settings/settings.hpp
@@ -1,9 +1,11 @@
 #pragma once
 // The platform's settings file, checked. Unknown fields are ignored.
+#include <set>
 #include <stdexcept>
 #include <string>
 #include <vector>
 
+#include "leases/leases.hpp"
 #include "placement/cluster.hpp"
 
 namespace barrowrun::settings {
@@ -25,6 +27,10 @@
     // Who changes quotas while running must know it; empty: nobody may.
     std::string operator_key;
     std::chrono::milliseconds leader_hold{3000}, promise{2500};
+    // Whether a node that is cut off together with workers keeps their leases for a while (src/leases).
+    bool keeps_leases = true;
+    Clock::duration keep_leases() const;
+    std::set<std::string> member_names() const;
 };
 
 // Throws SettingsError with one line that names the field.
--- a/tests/cluster_test.cpp
+++ b/tests/cluster_test.cpp
@@ -385,7 +385,7 @@
     for (unsigned seed = 1; seed <= 5; ++seed)
         for (int kind = 0; kind < 3; ++kind) {
             std::mt19937 random(seed);
-            Fleet f;
+            Fleet f(without_leases());
             std::set<std::string> faulty, bad;
             for (int i = 0; i < 40; ++i) {
                 auto name = "n-" + std::to_string(100 + i);
--- a/tests/machine_test.cpp
+++ b/tests/machine_test.cpp
@@ -1,3 +1,4 @@
+#include "fleet/silence.hpp"
 #include "support.hpp"
 
 using namespace barrowrun;
@@ -125,6 +126,48 @@
     EXPECT_FALSE(fleet::hears_the_fleet(0, 0));
 }
 
+// A zone that is cut off as a whole was returned wave by wave, with all that ran on there.
+TEST(Silence, OfAWholeZoneIsACutAndNothingIsReturnedBeforeItsLeasesAreLongOver) {
+    Fleet f;
+    std::vector<std::string> there;
+    for (int i = 0; i < 20; ++i) {
+        f.up("a-" + std::to_string(i), "a");
+        if (i < 10) f.up("b-" + std::to_string(i), "b"), there.push_back("b-" + std::to_string(i));
+    }
+    fleet::Silence silence({3s, 20s, 16});
+    const auto cut = f.now;
+    std::size_t given_up = 0;
+    auto play = [&](Clock::duration until) {
+        for (; f.now < cut + until; f.now += 500ms) {
+            for (int i = 0; i < 20; ++i) f.up("a-" + std::to_string(i), "a");
+            auto verdict = silence.judge(
+                f.cluster->machines(), f.now, cut, [](auto&) { return true; }, true);
+            for (auto* m : verdict.ask) m->missed++;
+            for (auto* m : verdict.give_up) m->returning = true, ++given_up;
+        }
+    };
+    play(55s);
+    EXPECT_EQ(given_up, 0u);
+    play(70s);
+    EXPECT_EQ(given_up, there.size()) << "empty for certain, and paid for";
+}
+
+TEST(Silence, OfOneMachineInAZoneThatIsHeardIsItsOwn) {
+    Fleet f;
+    for (int i = 0; i < 10; ++i) f.up("b-" + std::to_string(i), "b");
+    fleet::Silence silence({3s, 20s, 16});
+    const auto begin = f.now;
+    std::set<std::string> given_up;
+    for (; f.now < begin + 10s; f.now += 500ms) {
+        for (int i = 1; i < 10; ++i) f.up("b-" + std::to_string(i), "b");
+        auto verdict = silence.judge(
+            f.cluster->machines(), f.now, begin, [](auto&) { return true; }, true);
+        for (auto* m : verdict.ask) m->missed++;
+        for (auto* m : verdict.give_up) given_up.insert(m->name);
+    }
+    EXPECT_EQ(given_up, std::set<std::string>{"b-0"});
+}
+
 // A zone is cut off for longer than a lease; its worker is in a new session when it can be reached again, and
 // the first to be heard of it is the answer to a push. That session's lease is young, whoever was last
 // answered.
--- a/tests/support.hpp
+++ b/tests/support.hpp
@@ -19,6 +19,13 @@
 using wire::TaskStatus;
 using wire::Verb;
 
+// Rules of a fleet whose workers are always answered: no lease runs out.
+inline placement::Rules without_leases() {
+    placement::Rules rules;
+    rules.lease_s = 1e6;
+    return rules;
+}
+
 struct Fleet {
     TimePoint now = TimePoint{} + 1000s;
     std::int64_t wall = 1'000'000;
