keep_leases in the operator's file; signs of life and grants in the fuzz target

Need: what is new can be switched off. A leader reckons with kept leases even where they are off, since its predecessor may have had them on. No change of behaviour by default.

--- a/src/api/leader.cpp
+++ b/src/api/leader.cpp
@@ -23,7 +23,9 @@
       acquired_(acquired),
       silence_(
           {secs(services.settings.rules.report_s), secs(services.settings.rules.lease_s), asked_at_once}),
-      cover_(services.settings.member_names(), services.settings.keep_leases(), acquired) {
+      // Reckoned with even where it is switched off: a predecessor may have had it on.
+      cover_(services.settings.member_names(),
+             leases::keep_for(services.settings.rules.lease_s, services.settings.rules.cancel_s), acquired) {
     cluster_.lead(token, acquired);
     cluster_.set_types(services_.catalog);
 }
--- a/tests/fuzz/driver.cpp
+++ b/tests/fuzz/driver.cpp
@@ -53,6 +53,8 @@
          {"drop", {"a/x"}},
          {"shrink_s", 5},
          {"by", "x"}},
+        {{"zone", "a"}, {"token", 3}, {"stamp", 9}, {"held_ms", 8}, {"quiet", true}, {"own_ms", 70}},
+        {{"token", 3}, {"stamp", 9}, {"but", {"n-1", "n-2"}}},
         {{"version", 3}, {"slots", "a"}, {"changed_ms", 5}, {"history", {{{"version", 3}, {"by", "y"}}}}},
         {{"name_id", "wk-1"},
          {"standing", "failed"},
--- a/tests/fuzz/untrusted.cpp
+++ b/tests/fuzz/untrusted.cpp
@@ -1,7 +1,7 @@
 // What comes over the network or in files of others, byte by byte as it may come. With clang:
 //   clang++ -std=c++20 -g -fsanitize=fuzzer,address,undefined -Isrc tests/fuzz/untrusted.cpp src/wire/*.cpp
 //     src/depot/*.cpp src/lab/state_store.cpp src/store/*.cpp src/state/records.cpp src/quota/tree.cpp
-//     src/quota/book.cpp -DSPDLOG_HEADER_ONLY -lsqlite3 -lxxhash
+//     src/quota/book.cpp src/leases/leases.cpp -DSPDLOG_HEADER_ONLY -lsqlite3 -lxxhash
 // Built by CI with a driver of its own, which plays a fixed number of changed messages.
 #include <cstddef>
 #include <cstdint>
@@ -10,6 +10,7 @@
 
 #include "depot/depot.hpp"
 #include "lab/state_store.hpp"
+#include "leases/leases.hpp"
 #include "quota/book.hpp"
 #include "state/records.hpp"
 #include "wire/messages.hpp"
@@ -62,6 +63,10 @@
         }
     }
     quota::Book::read({{quota::head_key, *body}, {"quota/0a", *body}}, 16 * 1024);
+    if (auto sign = leases::parse_sign(*body))
+        if (!leases::parse_sign(leases::to_json(*sign))) std::abort();
+    if (auto grant = leases::parse_grant(*body))
+        if (!leases::parse_grant(leases::to_json(*grant))) std::abort();
     state::parse_past(*body);
     state::parse_sheet(*body);
     try {
--- a/tests/settings_test.cpp
+++ b/tests/settings_test.cpp
@@ -59,6 +59,10 @@
     apply_operator_settings(s, R"({"queue_bound": 1000, "leader_hold_ms": 4000})");
     EXPECT_EQ(s.rules.queue_bound, 1000u);
     EXPECT_EQ(s.leader_hold, std::chrono::milliseconds(4000));
+    s.rules.lease_s = 20, s.rules.cancel_s = 50;
+    EXPECT_GT(s.keep_leases(), std::chrono::seconds(29));
+    apply_operator_settings(s, R"({"keep_leases": false})");
+    EXPECT_EQ(s.keep_leases(), Clock::duration::zero());
     for (auto bad : {R"({"queue_bound": "many"})", R"({"queue_bound": 0})"}) {
         try {
             apply_operator_settings(s, bad);
