Sheets are measured without writing them out; idle machines are found without counting

Change: the length of a value as text is summed up from its parts; whether anything is there ends at the first. bench/quota_bench measures rounds by the number of machines.

--- a/bench/quota_bench.cpp
+++ b/bench/quota_bench.cpp
@@ -31,9 +31,10 @@
     TimePoint now = TimePoint{} + std::chrono::seconds(1000);
     std::vector<std::uint64_t> seq;
     std::size_t turn = 0;
-    static constexpr std::size_t machines = 1000;
+    std::size_t machines;
 
-    explicit Fleet(std::size_t nodes) {
+    // `shapes`: how many kinds of needs the waiting jobs have.
+    explicit Fleet(std::size_t nodes, std::size_t count = 1000, std::size_t shapes = 50) : machines(count) {
         spdlog::set_level(spdlog::level::off);
         rules.teams["crew"] = {};
         auto lines = tree(nodes);
@@ -48,7 +49,7 @@
             s.id = "wk-" + std::to_string(k);
             s.job_class = "batch", s.team = "crew", s.image = "img", s.image_gb = 1, s.estimate_s = 20;
             s.tasks = k < machines ? 4 : 50;
-            s.need = {1, 0, 1 + 0.01 * static_cast<double>(k % 50)};  // 50 shapes
+            s.need = {1, 0, 1 + 0.001 * static_cast<double>(k % shapes)};
             // The waiting ones stand in all parts of the tree.
             if (nodes > 1) {
                 auto i = 1 + k * 7919 % (nodes - 1);
@@ -57,7 +58,7 @@
             }
             cluster->add_job({s, static_cast<std::int64_t>(k)}, nullptr, now, 0);
         }
-        for (int i = 0; i < 40; ++i) cluster->round(now);
+        for (std::size_t i = 0; i < machines / 25; ++i) cluster->round(now);
         write();
         for (std::size_t i = 0; i < machines; ++i) report(i, false);
     }
@@ -86,7 +87,7 @@
     Fleet f(static_cast<std::size_t>(state.range(0)));
     for (auto _ : state) {
         f.now += std::chrono::milliseconds(1);
-        f.report(f.turn++ % Fleet::machines, true);
+        f.report(f.turn++ % f.machines, true);
         f.cluster->round(f.now);
         state.PauseTiming();
         f.write();
@@ -104,6 +105,29 @@
     ->ReportAggregatesOnly(true)
     ->Unit(benchmark::kMicrosecond);
 
+// The same without quotas on fleets of growing size; each waiting job has a need of its own.
+void round_by_machines(benchmark::State& state) {
+    Fleet f(0, static_cast<std::size_t>(state.range(0)), 1000);
+    for (auto _ : state) {
+        f.now += std::chrono::milliseconds(1);
+        f.report(f.turn++ % f.machines, true);
+        f.cluster->round(f.now);
+        state.PauseTiming();
+        f.write();
+        f.cluster->take_touched();
+        state.ResumeTiming();
+    }
+}
+BENCHMARK(round_by_machines)
+    ->Arg(250)
+    ->Arg(1000)
+    ->Arg(4000)
+    ->Arg(10000)
+    ->Iterations(400)
+    ->Repetitions(5)
+    ->ReportAggregatesOnly(true)
+    ->Unit(benchmark::kMicrosecond);
+
 void charge_and_release(benchmark::State& state) {
     auto built = quota::Tree::build(tree(static_cast<std::size_t>(state.range(0))), {{"crew", {}, {}}});
     quota::Ledger ledger(built.tree);
--- a/src/fleet/machine.cpp
+++ b/src/fleet/machine.cpp
@@ -19,6 +19,10 @@
         std::count_if(entries.begin(), entries.end(), [](auto& kv) { return !kv.second.exited(); }));
 }
 
+bool Machine::any_live() const {
+    return std::any_of(entries.begin(), entries.end(), [](auto& kv) { return !kv.second.exited(); });
+}
+
 bool Machine::has_image(const std::string& image) const {
     return std::any_of(images.begin(), images.end(), [&](auto& p) { return p.first == image; });
 }
--- a/src/fleet/machine.hpp
+++ b/src/fleet/machine.hpp
@@ -99,6 +99,7 @@
     void note_fetch(const std::string& image, double gb) { fetching_[image] = gb; }
     bool holds_task(const wire::TaskId& task) const;
     std::size_t live() const;  // attempts that may be there, exited ones aside
+    bool any_live() const;
 
     // Applies a report. `reply` tells a report to /hello from an answer of /commands: only the former proves
     // that an earlier response was received or dropped. Nothing happens for a report that is not newer.
--- a/src/placement/attempts.cpp
+++ b/src/placement/attempts.cpp
@@ -118,7 +118,7 @@
     }
     apply(m, changes, now);
     reconcile_reported(m, now);
-    if (m.live() > 0) m.idle_since = now;
+    if (m.any_live()) m.idle_since = now;
     return true;
 }
 
--- a/src/placement/rounds.cpp
+++ b/src/placement/rounds.cpp
@@ -459,7 +459,7 @@
             lease_over(m, now);
             moved = true;
         }
-        if (m.live() > 0) m.idle_since = now;
+        if (m.any_live()) m.idle_since = now;
         faults::judge(m, now, [&] {
             return std::any_of(jobs_.begin(), jobs_.end(), [&](auto& kv) {
                 return kv.second->failed_on.contains(m.name) &&
--- a/src/placement/writes.cpp
+++ b/src/placement/writes.cpp
@@ -9,7 +9,38 @@
 using wire::Json;
 
 namespace {
+// How long the value is as JSON text, without writing it: sheets of 10 KB are measured with each start on
+// them.
 std::size_t text_size(const wire::Json& value) {
+    auto digits = [](std::uint64_t n) {
+        std::size_t length = 1;
+        for (; n >= 10; n /= 10) ++length;
+        return length;
+    };
+    switch (value.type()) {
+        case Json::value_t::array: {
+            std::size_t sum = value.empty() ? 2 : 1 + value.size();
+            for (auto& v : value) sum += text_size(v);
+            return sum;
+        }
+        case Json::value_t::object: {
+            std::size_t sum = value.empty() ? 2 : 1 + value.size();
+            for (auto& [key, v] : value.items()) sum += text_size(key) + 1 + text_size(v);
+            return sum;
+        }
+        case Json::value_t::string: {
+            const auto& text = value.get_ref<const std::string&>();
+            const bool plain = std::all_of(text.begin(), text.end(), [](char c) {
+                return c >= ' ' && c < 127 && c != '"' && c != '\\';
+            });
+            if (plain) return text.size() + 2;
+            break;
+        }
+        case Json::value_t::number_unsigned:
+            return digits(value.get<std::uint64_t>());
+        default:
+            break;
+    }
     return value.dump(-1, ' ', false, wire::Json::error_handler_t::replace).size();
 }
 }  // namespace
--- a/src/renting/renting.cpp
+++ b/src/renting/renting.cpp
@@ -85,7 +85,7 @@
     // Made once: rooms gathered anew for each of 600 candidates took the leader's share for half a second.
     std::vector<std::pair<const Machine*, wire::Resources>> all, room;
     for (auto& [name, m] : cluster.machines())
-        if (cluster.usable(*m, now) && m->live() > 0) all.emplace_back(m.get(), m->room());
+        if (cluster.usable(*m, now) && m->any_live()) all.emplace_back(m.get(), m->room());
     for (auto& [candidate, own_room] : all) {
         const Machine& m = *candidate;
         if (m.live() > 16 || now - m.rented < secs(90)) continue;
@@ -194,7 +194,7 @@
         b.name = name;
         b.offer = index_of({m->type, m->zone, m->spot});
         b.room = m->room();
-        b.used = m->live() > 0;
+        b.used = m->any_live();
         b.images = m->images.size();  // of two alike, the one that has fetched more is kept
         b.fetch_gb_per_s = m->fetch_gb_per_s;
         for (auto& [a, e] : m->entries)
@@ -435,7 +435,7 @@
             spdlog::warn("machine {} has not come up in {:.0f} s: it is returned", name,
                          Seconds(now - m->rented).count());
             out.give_back.push_back(name);
-        } else if ((m->drain || m->faulty) && m->live() == 0) {
+        } else if ((m->drain || m->faulty) && !m->any_live()) {
             out.give_back.push_back(name);
         }
     }
