One piece each for what yields, what is coming free, where a job may stand, and the leader key

What yields to a level stood in three places (now Entry::yields_to); room that is coming free was summed anew in make_room (coming reads the filed sums, also for guarantees); the zones of a job's tasks were counted by a twin in renting and anew for each machine in reclaim and explain (Cluster::Zones serves all); guarantees built the order of waiting jobs that in_order keeps; the leader key was set in three places (Election::set_key, lead_under); the sign of life was made once for each peer. A term's first token tells whose stamp a sign brings back, so the list of tokens is gone.

--- a/src/api/leader.cpp
+++ b/src/api/leader.cpp
@@ -25,7 +25,8 @@
           {secs(services.settings.rules.report_s), secs(services.settings.rules.lease_s), asked_at_once}),
       // Reckoned with even where it is switched off: a predecessor may have had it on.
       cover_(services.settings.member_names(),
-             leases::keep_for(services.settings.rules.lease_s, services.settings.rules.cancel_s), acquired) {
+             leases::keep_for(services.settings.rules.lease_s, services.settings.rules.cancel_s), acquired,
+             token) {
     cluster_.lead(token, acquired);
     cluster_.set_types(services_.catalog);
 }
@@ -38,7 +39,7 @@
 
 std::optional<leases::Grant> Leader::heard(const std::string& node, const leases::Sign& sign) {
     auto out = grant();
-    cover_.heard(node, sign, services_.election.token(), Clock::now(), out.has_value());
+    cover_.heard(node, sign, Clock::now(), out.has_value());
     return out;
 }
 
--- a/src/api/node.cpp
+++ b/src/api/node.cpp
@@ -515,7 +515,7 @@
     auto report = wire::parse_report(*decoded);
     if (!report) co_return problem(400, "not a report");
     auto now = Clock::now();
-    if (auto kept = leader_; kept && kept->may_act()) co_return co_await kept->hello(std::move(*report));
+    if (auto kept = leader_; leader()) co_return co_await kept->hello(std::move(*report));
     // Cut off together with the worker: it keeps its lease for a while, and what it runs goes on.
     if (keeper_.may_keep(*report, now, !state_.answers(now))) {
         if (now - kept_said_ > 30s)
--- a/src/election/election.cpp
+++ b/src/election/election.cpp
@@ -46,7 +46,6 @@
 }
 
 Task<> Election::follow() {
-    auto sent = Clock::now();
     // Listed rather than read: a listing tells the service's revision. A watch from the key's own version is
     // refused once 10,000 changes have passed since, and would be asked again at once for as long as that
     // leader leads.
@@ -87,17 +86,10 @@
         stamp_ = record->stamp + 1;
         // Under a token of its own: an earlier term of this process may have sent commands under the one on
         // record, and a worker that knows it would seem to have settled them.
-        state::LeaderRecord anew{node_, incarnation_, hold_, stamp_};
-        std::vector<state::Condition> conditions{{state::leader_key, current->version}};
-        std::vector<state::Operation> operations{{state::leader_key, state::to_json(anew), hold_}};
-        auto stamped = co_await state_.txn(conditions, operations, 1000ms, state::Pace::free);
-        sent = Clock::now();
-        if (stamped.outcome == Outcome::ok && co_await state_.extend_hold(hold_, 800ms) == Outcome::ok &&
-            abstention_.free(Clock::now())) {
-            become_leader(stamped.revision, sent);
-        } else {
-            co_await net::sleep_for(200ms);
-        }
+        auto stamped = co_await set_key(current->version, stamp_, 1000ms);
+        bool leads = false;
+        if (stamped.outcome == Outcome::ok) leads = co_await lead_under(stamped.revision);
+        if (!leads) co_await net::sleep_for(200ms);
         co_return;
     }
     if (leader_name_ != record->node) spdlog::info("{} leads with token {}", record->node, current->version);
@@ -120,15 +112,9 @@
     if (!abstention_.free(Clock::now())) co_return;
     hold_ = *hold;
     stamp_ = 1;
-    state::LeaderRecord record{node_, incarnation_, hold_, stamp_};
-    std::vector<state::Condition> conditions{{state::leader_key, 0}};
-    std::vector<state::Operation> operations{{state::leader_key, state::to_json(record), hold_}};
-    auto result = co_await state_.txn(conditions, operations, 1000ms, state::Pace::free);
+    auto result = co_await set_key(0, stamp_, 1000ms);
     if (result.outcome == Outcome::ok) {
-        // The hold began when it was created, which was earlier: extend it before counting on it.
-        auto extended = Clock::now();
-        if (co_await state_.extend_hold(hold_, 800ms) == Outcome::ok && abstention_.free(Clock::now()))
-            become_leader(result.revision, extended);
+        co_await lead_under(result.revision);
         co_return;
     }
     if (result.outcome == Outcome::conflict) {
@@ -138,6 +124,24 @@
     co_await net::sleep_for(100ms);  // unknown or refused: follow() reads back how it came out
 }
 
+Task<state::TxnResult> Election::set_key(std::uint64_t from, std::uint64_t stamp, Clock::duration deadline) {
+    state::LeaderRecord record{node_, incarnation_, hold_, stamp};
+    std::vector<state::Condition> conditions{{state::leader_key, from}};
+    std::vector<state::Operation> operations{{state::leader_key, state::to_json(record), hold_}};
+    auto result =
+        co_await state_.txn(std::move(conditions), std::move(operations), deadline, state::Pace::free);
+    co_return result;
+}
+
+Task<bool> Election::lead_under(std::uint64_t token) {
+    // The hold began when it was created, which was earlier: extend it before counting on it.
+    auto sent = Clock::now();
+    auto extended = co_await state_.extend_hold(hold_, 800ms);
+    if (extended != Outcome::ok || !abstention_.free(Clock::now())) co_return false;
+    become_leader(token, sent);
+    co_return true;
+}
+
 void Election::become_leader(std::uint64_t token, TimePoint sent) {
     authority_.emplace(peers_.size());
     authority_->hold_extended(sent, timing_.ttl);
@@ -245,10 +249,7 @@
 Task<bool> Election::restamp() {
     if (!leader_) co_return false;
     auto old = token_;
-    state::LeaderRecord record{node_, incarnation_, hold_, stamp_ + 1};
-    std::vector<state::Condition> conditions{{state::leader_key, old}};
-    std::vector<state::Operation> operations{{state::leader_key, state::to_json(record), hold_}};
-    auto result = co_await state_.txn(conditions, operations, 1500ms, state::Pace::free);
+    auto result = co_await set_key(old, stamp_ + 1, 1500ms);
     if (!leader_ || token_ != old) co_return false;
     if (result.outcome == Outcome::ok) {
         ++stamp_;
@@ -273,11 +274,12 @@
 Task<> Election::ping_peers() {
     for (;;) {
         auto answered = state_.answers(Clock::now());
+        Json now_said;
+        if (sign) now_said = sign();
         for (auto& p : peers_) {
-            auto ask = [](Election* self, Peer* peer, bool ok) -> Task<> {
+            auto ask = [](Election* self, Peer* peer, bool ok, Json said) -> Task<> {
                 Json body{{"from", self->node_}, {"state_ok", ok}};
-                if (self->sign)
-                    if (auto s = self->sign()) body["leases"] = std::move(*s);
+                if (!said.is_null()) body["leases"] = std::move(said);
                 auto sent = Clock::now();
                 auto reply = co_await self->peer_client_.call(peer->address, verb::post, "/peer/ping",
                                                               std::move(body), 800ms);
@@ -291,7 +293,7 @@
                 if (const Json* grant = wire::find(reply.body, "leases"); grant && self->on_grant)
                     self->on_grant(sent, *grant);
             };
-            net::asio::co_spawn(io_, ask(this, &p, answered), net::asio::detached);
+            net::asio::co_spawn(io_, ask(this, &p, answered, now_said), net::asio::detached);
         }
         co_await net::sleep_for(1s);
     }
--- a/src/election/election.hpp
+++ b/src/election/election.hpp
@@ -36,8 +36,9 @@
 
     std::function<void(std::uint64_t token, TimePoint acquired)> on_lead;
     std::function<void()> on_lose;
-    // What goes with a sign of life to the others, and what a leader's answer to one that was sent then brings.
-    std::function<std::optional<wire::Json>()> sign;
+    // What goes with a sign of life to the others, and what a leader's answer to one that was sent then
+    // brings.
+    std::function<wire::Json()> sign;
     std::function<void(TimePoint sent, const wire::Json& grant)> on_grant;
 
     Task<> run();
@@ -69,6 +70,10 @@
     Task<> campaign();
     Task<> lead();
     Task<> collect_promises();
+    // Sets the leader key to this process's hold and the stamp, if its version is still `from`.
+    Task<state::TxnResult> set_key(std::uint64_t from, std::uint64_t stamp, Clock::duration deadline);
+    // Leads under the token, if the hold can be extended. False: not now.
+    Task<bool> lead_under(std::uint64_t token);
     void become_leader(std::uint64_t token, TimePoint sent);
     void lose(const char* why);
 
--- a/src/fleet/machine.hpp
+++ b/src/fleet/machine.hpp
@@ -46,6 +46,8 @@
     bool service = false;
     bool saves = false;
     bool exited() const { return phase == Phase::seen && state == wire::TaskState::exited; }
+    // Whether it may be stopped for work of the level.
+    bool yields_to(wire::Priority higher) const { return !exited() && !stop && may_yield && level > higher; }
 };
 
 // Whether a silence is the machine's rather than ours: enough of the others were heard just now.
@@ -107,11 +109,11 @@
                std::vector<Change>& changes);
     // The machine is proven empty: gone, or its lease has run out.
     void clear(std::vector<Change>& changes);
-    // When its lease has certainly run out if we don't answer it again; `acquired`: until when others may have
-    // answered it. A new session has a lease of its own
-    // from its beginning, without any answer of ours. We may hear of it, and start tasks in it, by an answer
-    // of /commands or /inspect alone: counted from the last answered report those tasks were taken for gone
-    // at once, and ran twice (docs/incidents/session-known-by-push.md).
+    // When its lease has certainly run out if we don't answer it again; `acquired`: until when others may
+    // have answered it. A new session has a lease of its own from its beginning, without any answer of ours.
+    // We may hear of it, and start tasks in it, by an answer of /commands or /inspect alone: counted from the
+    // last answered report those tasks were taken for gone at once, and ran twice
+    // (docs/incidents/session-known-by-push.md).
     TimePoint lease_end(double lease_s, TimePoint acquired) const {
         return std::max({last_answer, acquired, known, session_known}) + longer(secs(lease_s));
     }
--- a/src/leases/leases.cpp
+++ b/src/leases/leases.cpp
@@ -108,8 +108,9 @@
 
 // ---- the leader ----------------------------------------------------------------------------------------
 
-Cover::Cover(const std::set<std::string>& nodes, Clock::duration keep, TimePoint acquired)
-    : keep_(keep), acquired_(acquired) {
+Cover::Cover(const std::set<std::string>& nodes, Clock::duration keep, TimePoint acquired,
+             std::uint64_t token)
+    : keep_(keep), acquired_(acquired), first_token_(token) {
     // Whatever a predecessor granted was granted before this leader's time.
     for (auto& name : nodes) nodes_[name].limit = acquired + longer(keep);
 }
@@ -118,17 +119,16 @@
     return whole_ms(now - acquired_) + 1;
 }
 
-void Cover::heard(const std::string& node, const Sign& sign, std::uint64_t token, TimePoint now,
-                  bool granted) {
+void Cover::heard(const std::string& node, const Sign& sign, TimePoint now, bool granted) {
     auto it = nodes_.find(node);
     if (it == nodes_.end()) return;
     Node& n = it->second;
     n.zone = sign.zone;
-    tokens_.insert(token);
     // The sign may have been held for minutes: it was sent after the stamp that it brings back was given, and
     // no later than now. It speaks for what is between only as far as both hold.
     n.own = std::max(n.own, now - shorter(ms(sign.own_ms)));
-    if (sign.quiet && sign.stamp > 0 && tokens_.contains(sign.token)) {
+    // Tokens only grow: a lower one is of an earlier term, and so is its stamp.
+    if (sign.quiet && sign.stamp > 0 && sign.token >= first_token_) {
         auto sent = acquired_ + ms(sign.stamp - 1) + shorter(ms(sign.held_ms));
         if (sent <= now) n.quiet_until = std::max(n.quiet_until, sent + shorter(quiet));
     }
--- a/src/leases/leases.hpp
+++ b/src/leases/leases.hpp
@@ -76,9 +76,10 @@
 class Cover {
   public:
     // `nodes`: by name; their zones are not known before they say so, so that any may be theirs.
-    Cover(const std::set<std::string>& nodes, Clock::duration keep, TimePoint acquired);
+    // `token`: the term's first.
+    Cover(const std::set<std::string>& nodes, Clock::duration keep, TimePoint acquired, std::uint64_t token);
     // A sign of life, and whether it is answered with a grant.
-    void heard(const std::string& node, const Sign& sign, std::uint64_t token, TimePoint now, bool granted);
+    void heard(const std::string& node, const Sign& sign, TimePoint now, bool granted);
     std::uint64_t stamp(TimePoint now) const;
     // The latest moment up to now at which a node may have answered a worker of the zone by itself.
     TimePoint answered(const std::string& zone, TimePoint now) const;
@@ -90,7 +91,7 @@
     };
     Clock::duration keep_;
     TimePoint acquired_;
-    std::set<std::uint64_t> tokens_;  // of this term
+    std::uint64_t first_token_;
     std::map<std::string, Node> nodes_;
 };
 
--- a/src/placement/cluster.hpp
+++ b/src/placement/cluster.hpp
@@ -105,6 +105,20 @@
   public:
     explicit Cluster(Rules rules);
 
+    // Where tasks of a job may be, by zone, and where another may start. `job`: absent where none has
+    // started.
+    class Zones {
+      public:
+        Zones(const Cluster& cluster, const wire::JobSpec& spec, const Job* job);
+        bool ok(const std::string& zone) const;
+        void add(const std::string& zone) { in_[zone]++, ++all_; }
+
+      private:
+        const wire::JobSpec& spec_;
+        std::map<std::string, std::uint32_t> in_;
+        std::uint32_t all_ = 0;
+    };
+
     const Rules& rules() const { return rules_; }
     void set_types(std::vector<wire::MachineType> types);
     const std::map<std::string, wire::MachineType>& types() const { return types_; }
@@ -188,7 +202,6 @@
     }
     bool allowed(const wire::JobSpec& spec, const std::string& type, const std::string& zone,
                  bool spot) const;
-    bool zone_ok(const Job& job, const std::string& zone) const;
     bool unsettled(TimePoint now) const;  // a push without an answer is older than a while
     bool gpu_reserved(const wire::JobSpec& spec, const wire::MachineType& t) const;
     std::set<std::string> take_touched() {
@@ -222,18 +235,6 @@
     static bool waited_for(const Job& job);  // a user waits for its next record: it is over, or cancelled
     // The sorts of machines that the job may use.
     const std::vector<const Rooms::Alike*>& may_use(Job& job);
-    // Where tasks of a job may be, by zone, and where another may start.
-    class Zones {
-      public:
-        Zones(const Cluster& cluster, const Job& job);
-        bool ok(const std::string& zone) const;
-        void add(const std::string& zone) { in_[zone]++, ++all_; }
-
-      private:
-        const wire::JobSpec& spec_;
-        std::map<std::string, std::uint32_t> in_;
-        std::uint32_t all_ = 0;
-    };
     void reserve(Machine& m, const wire::Resources& need);
     void occupy(Job& job, const Attempt& a, Entry& e, Machine& m);
     void release(Entry& e);
@@ -259,7 +260,8 @@
     // What runs and could be stopped. `hosts`: whose places are numbered; others aren't looked at.
     Held held(const std::vector<Machine*>& hosts, TimePoint now) const;
     double loss(const Job& job, const Entry& e, TimePoint now) const;
-    wire::Resources coming(const Machine& m) const;  // free once what is being stopped there is out
+    // Free once what is being stopped there is out.
+    static wire::Resources coming(const Rooms::Filed& filed);
     state::MachineRecord record_of(const Machine& m, TimePoint now, std::int64_t wall_ms) const;
     std::size_t most_tasks() const;  // on one machine: its record must fit a value
     void drop_unsent(Machine& m);
--- a/src/placement/guarantees.cpp
+++ b/src/placement/guarantees.cpp
@@ -53,10 +53,9 @@
     return (lost + 2) * std::max(0.1, e.need.cpus) + (job.spec.sort == Sort::service ? replica_loss : 0);
 }
 
-wire::Resources Cluster::coming(const Machine& m) const {
-    wire::Resources room = m.unreserved();
-    for (auto& [a, e] : m.entries)
-        if (e.stop && !e.exited()) room += e.need;
+wire::Resources Cluster::coming(const Rooms::Filed& filed) {
+    wire::Resources room = filed.machine->unreserved();
+    room += filed.tally.stopping;
     return room;
 }
 
@@ -107,10 +106,8 @@
     std::set<std::pair<quota::NodeId, std::string>> in_vain;
     std::vector<Job*> order;
     for (int level = 0; level < wire::priority_levels; ++level)
-        for (auto& p : queue_.level(level)) {
-            Job* job = find_job(p.id);
-            if (job && !job->cancelled && now >= job->retry_at) order.push_back(job);
-        }
+        for (Job* job : in_order(level))
+            if (!job->cancelled && now >= job->retry_at) order.push_back(job);
     for (auto depth = deepest; depth > 0; --depth)
         for (Job* job : order) {
             if (placed >= most_starts_a_round) return acted;
@@ -153,6 +150,8 @@
 bool Cluster::reclaim(Job& job, std::uint32_t tasks, TimePoint now) {
     const auto& s = job.spec;
     const bool whole = s.sort == Sort::gang;
+    const Zones taken(*this, s, &job);
+    rooms_.refresh();
     std::vector<std::string> zones{""};
     if (s.one_zone) {
         std::set<std::string> all;
@@ -169,10 +168,10 @@
             for (auto& [a, e] : m->entries)
                 if (e.stop && !e.exited() && e.account != quota::no_node) ledger.release(e.account, e.need);
             if ((!zone.empty() && m->zone != zone) || !usable(*m, now) || !allowed(s, *m) ||
-                !trusted(*m, job, now) || !zone_ok(job, m->zone))
+                !trusted(*m, job, now) || !taken.ok(m->zone))
                 continue;
             hosts.push_back(m.get());
-            rooms.push_back(coming(*m));
+            rooms.push_back(coming(rooms_.filed(*m)));
         }
         if (hosts.empty()) continue;
         // The place of what runs on other machines: nothing fits there.
@@ -272,10 +271,11 @@
     }
     if (gang && !job.places.empty()) return "tasks of its last attempt may still be on their machines";
     std::size_t may = 0, fit = 0;
+    const Zones taken(*this, s, &job);
     const Machine* roomiest = nullptr;
     wire::Resources most;
     for (auto& [name, m] : machines_) {
-        if (!usable(*m, now) || !allowed(s, *m) || !zone_ok(job, m->zone)) continue;
+        if (!usable(*m, now) || !allowed(s, *m) || !taken.ok(m->zone)) continue;
         ++may;
         auto room = m->room();
         fit += s.need.fits(room);
--- a/src/placement/rooms.cpp
+++ b/src/placement/rooms.cpp
@@ -21,12 +21,12 @@
             out.stopping += e.need;
             out.stops = true;
             out.lower.fill(true);
-        } else if (e.may_yield) {
-            for (std::size_t level = 0; level < static_cast<std::size_t>(e.level); ++level) {
+        }
+        for (std::size_t level = 0; level < out.yields.size(); ++level)
+            if (e.yields_to(static_cast<wire::Priority>(level))) {
                 out.yields[level] += e.need;
                 out.lower[level] = true;
             }
-        }
     }
     return out;
 }
--- a/src/placement/rounds.cpp
+++ b/src/placement/rounds.cpp
@@ -47,9 +47,9 @@
     return job.may_use;
 }
 
-Cluster::Zones::Zones(const Cluster& cluster, const Job& job) : spec_(job.spec) {
-    if (!spec_.spread && !spec_.one_zone) return;
-    for (auto& [index, list] : job.places)
+Cluster::Zones::Zones(const Cluster& cluster, const wire::JobSpec& spec, const Job* job) : spec_(spec) {
+    if (!job || (!spec_.spread && !spec_.one_zone)) return;
+    for (auto& [index, list] : job->places)
         for (auto& [name, number] : list)
             if (auto it = cluster.machines_.find(name); it != cluster.machines_.end()) add(it->second->zone);
 }
@@ -62,10 +62,6 @@
     return !spec_.spread || here + 1 <= (spec_.tasks + 1) / 2;
 }
 
-bool Cluster::zone_ok(const Job& job, const std::string& zone) const {
-    return Zones(*this, job).ok(zone);
-}
-
 // An attempt that may be on a machine: its task does not wait any more, and the entry knows what it is.
 void Cluster::occupy(Job& job, const Attempt& a, Entry& e, Machine& m) {
     rooms_.changed(m);
@@ -172,7 +168,7 @@
 wire::Resources Cluster::preemptible(const Machine& m, Priority level, bool kept) const {
     wire::Resources r;
     for (auto& [a, e] : m.entries)
-        if (!e.exited() && !e.stop && e.may_yield && e.level > level && (e.saves || !kept)) r += e.need;
+        if (e.yields_to(level) && (e.saves || !kept)) r += e.need;
     return r;
 }
 
@@ -207,7 +203,7 @@
     std::vector<Machine*> machines;
     std::vector<Attempt> victims;
     const auto level = static_cast<std::size_t>(job.spec.priority);
-    const Zones zones(*this, job);
+    const Zones zones(*this, job.spec, &job);
     std::vector<const Rooms::Alike*> sorts;
     rooms_.refresh();
     for (auto* those : may_use(job))
@@ -229,8 +225,7 @@
     for (auto* filed : near) {
         Machine& m = *filed->machine;
         if (out.tasks >= tasks) return out;
-        wire::Resources room = m.unreserved();
-        room += filed->tally.stopping;
+        wire::Resources room = coming(*filed);
         if (!need.fits(room) || !suits(m)) continue;
         for (; out.tasks < tasks && need.fits(room); room -= need) {
             reserve(m, need);
@@ -248,14 +243,10 @@
     for (auto* filed : near) {
         Machine& m = *filed->machine;
         if (!suits(m)) continue;
-        wire::Resources room = m.unreserved();
-        room += filed->tally.stopping;
         preemption::Option option{
-            room, {}, m.has_image(job.spec.image) ? 0 : 10 * job.spec.image_gb / m.fetch_gb_per_s};
+            coming(*filed), {}, m.has_image(job.spec.image) ? 0 : 10 * job.spec.image_gb / m.fetch_gb_per_s};
         for (auto& [a, e] : m.entries) {
-            if (e.exited() || e.stop || !e.may_yield || e.level <= job.spec.priority ||
-                (kept_only && !e.saves))
-                continue;
+            if (!e.yields_to(job.spec.priority) || (kept_only && !e.saves)) continue;
             Job* other = find_job(a.task.job);
             if (!other || (other->spec.sort == Sort::gang && other->spec.tasks > 1)) continue;
             // What another's guarantee covers goes on, unless this is within one as well: it would only be
@@ -313,7 +304,7 @@
     std::vector<Machine*> ranked;
     if (may_fit) ranked = rank(job, now);
     std::size_t at = 0;
-    Zones zones(*this, job);
+    Zones zones(*this, job.spec, &job);
     auto choose = [&]() -> Machine* {
         for (; at < ranked.size(); ++at) {
             if (s.need.fits(ranked[at]->unreserved()) && trusted(*ranked[at], job, now) &&
@@ -358,7 +349,6 @@
 
 bool Cluster::round(TimePoint now) {
     if (queue_.waiting() == 0 || now < distrust_until_) return false;
-    rooms_.refresh();
     std::size_t placed = 0;
     bool acted = ledger_.tree().guarantees() && serve_guarantees(now, placed);
     acted |= serve_levels(now, placed);
--- a/src/renting/renting.cpp
+++ b/src/renting/renting.cpp
@@ -236,20 +236,7 @@
     // that takes a task only becomes the better choice for the next one, so each is filled in turn: one look
     // at every bin for a job, not one for each of its tasks.
     auto cover = [&](const Job* job, const wire::JobSpec& s, std::uint32_t n, Soft soft) {
-        std::map<std::string, std::uint32_t> in_zone;
-        if (job && (s.spread || s.one_zone))
-            for (auto& [index, list] : job->places)
-                for (auto& [name, number] : list) {
-                    auto it = cluster.machines().find(name);
-                    if (it != cluster.machines().end()) in_zone[it->second->zone]++;
-                }
-        auto zone_ok = [&](const std::string& zone) {
-            if (s.spread && in_zone[zone] + 1 > (s.tasks + 1) / 2) return false;
-            if (s.one_zone)
-                for (auto& [z, k] : in_zone)
-                    if (z != zone && k > 0) return false;
-            return true;
-        };
+        Cluster::Zones zones(cluster, s, job);
         for (std::size_t i = 0; i < offers.size(); ++i)
             suitable[i] = suits(s, offers[i].type, offers[i].zone, offers[i].spot);
         auto reach = [&](const Bin& b) {
@@ -259,10 +246,10 @@
             return room;
         };
         auto fill = [&](Bin& b, std::uint32_t& k) {
-            while (k < n && s.need.fits(reach(b)) && zone_ok(offers[b.offer].zone)) {
+            while (k < n && s.need.fits(reach(b)) && zones.ok(offers[b.offer].zone)) {
                 b.room -= s.need;
                 b.used = true;
-                in_zone[offers[b.offer].zone]++;
+                zones.add(offers[b.offer].zone);
                 ++k;
             }
         };
@@ -287,7 +274,7 @@
             std::size_t pick = 0;
             double pick_cost = 0;
             for (std::size_t i = 0; i < offers.size(); ++i) {
-                if (!suitable[i] || !zone_ok(offers[i].zone)) continue;
+                if (!suitable[i] || !zones.ok(offers[i].zone)) continue;
                 const auto& t = cluster.types().at(offers[i].type);
                 wire::Resources whole{t.cpus, t.gpus, t.mem_gb};
                 if (!s.need.fits(whole)) continue;
--- a/tests/cuts_test.cpp
+++ b/tests/cuts_test.cpp
@@ -105,7 +105,7 @@
         ++token;
         cluster = std::make_unique<Cluster>(rules);
         cluster->lead(token, now);
-        cover = std::make_unique<leases::Cover>(std::set<std::string>{"south"}, keep, now);
+        cover = std::make_unique<leases::Cover>(std::set<std::string>{"south"}, keep, now, token);
         cluster->set_types({{"small", 4, 0, 32, 30, 0.5, 1.0, 0.2, 25, {"a", "b"}}});
         records.read_into(*cluster, now, wall);
         // Whatever its records don't say the cloud lists.
@@ -135,7 +135,7 @@
         }
         if (was_cut && now >= cut_until) {
             for (auto& h : std::exchange(held, {})) deliver(h);
-            for (auto& s : std::exchange(held_signs, {})) cover->heard("south", s, token, now, true);
+            for (auto& s : std::exchange(held_signs, {})) cover->heard("south", s, now, true);
         }
         for (auto& [id, told] : cancelled)
             if (now > told + secs(cancel_s))
@@ -152,7 +152,7 @@
         }
         const auto how = pick(6);
         if (how == 0) return;  // lost
-        cover->heard("south", sign, token, now, true);
+        cover->heard("south", sign, now, true);
         if (how == 1) return;  // its answer is
         node->granted(now, now, {token, cover->stamp(now), false, cluster->holding_cancelled()});
     }
--- a/tests/leases_test.cpp
+++ b/tests/leases_test.cpp
@@ -12,7 +12,7 @@
 struct Kept : ::testing::Test {
     TimePoint now = TimePoint{} + 1000s;
     Clock::duration keep = keep_for(20, 40);
-    Cover cover{{"north", "south"}, keep, now};
+    Cover cover{{"north", "south"}, keep, now, 7};
     Keeper keeper{"b", keep, now - 100s};
     wire::Report report() {
         wire::Report r;
@@ -22,7 +22,7 @@
     // A sign of life that gets through, and the answer to it.
     void exchange(std::set<std::string> but = {}) {
         auto sign = keeper.sign(now);
-        cover.heard("south", sign, 7, now, true);
+        cover.heard("south", sign, now, true);
         keeper.granted(now, now, {7, cover.stamp(now), false, std::move(but)});
     }
 };
@@ -69,7 +69,7 @@
     EXPECT_EQ(cover.answered("b", now), now) << "a predecessor's word may still be good";
     for (int i = 0; i < 3; ++i) {
         exchange();
-        cover.heard("north", {"a", 0, 0, 0, false, 50'000}, 7, now, false);
+        cover.heard("north", {"a", 0, 0, 0, false, 50'000}, now, false);
         now += 1s;
     }
     EXPECT_LE(cover.answered("b", now), now - 100s)
@@ -90,7 +90,7 @@
     ASSERT_TRUE(keeper.may_keep(report(), now, true));
     const auto kept = now;
     now += 10s;
-    cover.heard("north", {"a", 0, 0, 0, false, 0}, 7, now, false);
+    cover.heard("north", {"a", 0, 0, 0, false, 0}, now, false);
     exchange();
     now += 1s;
     exchange();
@@ -109,14 +109,14 @@
     now += 12s;
     ASSERT_TRUE(keeper.may_keep(report(), now, true));
     now += 1s;
-    cover.heard("south", sign, 7, now, false);
+    cover.heard("south", sign, now, false);
     EXPECT_GE(cover.answered("b", now), now - 1s) << "its promise is long over";
 }
 
 TEST_F(Kept, AWordOfAnotherLeadersTermPromisesNothing) {
     auto sign = Sign{"b", 3, 1, 0, true, 100'000};
     now += 1s;
-    cover.heard("south", sign, 7, now, true);
+    cover.heard("south", sign, now, true);
     EXPECT_EQ(cover.answered("b", now), now);
 }
 
