--- a/src/lab/child.cpp
+++ b/src/lab/child.cpp
@@ -5,6 +5,8 @@
 #include <unistd.h>
 
 #include <cerrno>
+#include <random>
+#include <stdexcept>
 #include <system_error>
 
 namespace barrowrun::lab {
@@ -48,9 +50,22 @@
 }
 
 std::string free_address() {
+    // Below the ports that outgoing connections are given: between the choice and the listening one of those
+    // was taken now and then, and the site did not come up.
+    constexpr unsigned first = 10'000, last = 32'000;
+    static unsigned next = first + std::random_device{}() % (last - first);
     net::asio::io_context io;
-    net::asio::ip::tcp::acceptor a(io, {net::asio::ip::make_address("127.0.0.1"), 0});
-    return "127.0.0.1:" + std::to_string(a.local_endpoint().port());
+    for (unsigned tries = first; tries < last; ++tries) {
+        next = next + 1 < last ? next + 1 : first;
+        net::asio::ip::tcp::endpoint at(net::asio::ip::make_address("127.0.0.1"),
+                                        static_cast<unsigned short>(next));
+        net::asio::ip::tcp::acceptor a(io);
+        boost::system::error_code ec;
+        a.open(at.protocol(), ec);
+        a.bind(at, ec);
+        if (!ec) return "127.0.0.1:" + std::to_string(next);
+    }
+    throw std::runtime_error("no port is free below 32000");
 }
 
 }  // namespace barrowrun::lab
