--- /dev/null
+++ b/src/api/answers.hpp
@@ -0,0 +1,17 @@
+#pragma once
+// Answers that several routes give.
+#include <string>
+
+#include "net/http_server.hpp"
+
+namespace barrowrun::api {
+
+inline net::Response problem(int status, std::string text, int retry_after = 0) {
+    return net::Response{status, {{"error", std::move(text)}}, retry_after};
+}
+
+inline wire::Json id_body(const std::string& id) {
+    return wire::Json{{"id", id}};
+}
+
+}  // namespace barrowrun::api
--- a/src/api/cells.cpp
+++ b/src/api/cells.cpp
@@ -247,10 +247,15 @@
 // ----------------------------------------------------------------------------------
 
 Json Cells::digest() {
+    // One look at the machines for all neighbours that ask at about the same time.
+    const auto now = Clock::now();
+    if (!digest_.is_null() && now - digest_made_ < 300ms) return digest_;
+    digest_made_ = now;
     cells::Digest d;
     d.waiting = host_.cluster.queue().waiting();
-    host_.cluster.free_rooms(Clock::now(), [&](const wire::Resources& r) { d.add(r); });
-    return cells::to_json(d);
+    host_.cluster.free_rooms(now, [&](const wire::Resources& r) { d.add(r); });
+    digest_ = cells::to_json(d);
+    return digest_;
 }
 
 Task<Response> Cells::asked(cells::Request request) {
--- a/src/api/cells.hpp
+++ b/src/api/cells.hpp
@@ -15,6 +15,7 @@
 // All of it belongs to one term. What it wants done of the leader stands in `Host`.
 class Cells {
   public:
+    using Json = wire::Json;
     struct Host {
         placement::Cluster& cluster;
         state::StateClient& state;
@@ -61,6 +62,8 @@
     cells::Spiller spiller_;
     std::map<std::string, Lending> lent_;
     std::map<std::string, Holding> held_;
+    Json digest_;
+    TimePoint digest_made_{};
     std::map<std::string, std::size_t> node_;  // which of a cell's nodes answered last
     std::map<std::string, std::pair<wire::Resources, std::uint32_t>> offers_;  // not answered yet, by job
 };
--- /dev/null
+++ b/src/api/node_peers.cpp
@@ -0,0 +1,87 @@
+// What other nodes ask of this one, of its own cell and of others.
+#include "api/answers.hpp"
+#include "api/node.hpp"
+
+namespace barrowrun::api {
+using net::http::verb;
+using namespace std::chrono_literals;
+
+Task<Response> Node::peer_route(net::Request request) {
+    auto body = wire::decode(request.body);
+    if (request.method != verb::post || !body) co_return problem(400, "malformed");
+    const std::string& target = request.target;
+    if (target == "/peer/ping") {
+        bool leads = leader() != nullptr;
+        Json answer{
+            {"state_ok", state_.answers(Clock::now())}, {"leading", leads}, {"elected", election_.elected()}};
+        answer["waiting"] = leads ? leader_->waiting() : 0;
+        if (const Json* value = wire::find(*body, "leases"); value && leads)
+            if (auto sign = leases::parse_sign(*value))
+                if (auto grant = leader_->heard(wire::text(*body, "from").value_or(""), *sign))
+                    answer["leases"] = leases::to_json(*grant);
+        if (auto* cells = leads ? leader_->cells() : nullptr; cells && wire::find(*body, "cell"))
+            answer["digest"] = cells->digest();
+        co_return Response{200, std::move(answer)};
+    }
+    // A part of a job, between cells: an offer comes as a submission, a recall as a cancellation.
+    if (const Json* part = wire::find(*body, "part");
+        part && (target == "/peer/submit" || target == "/peer/cancel")) {
+        auto asked = cells::parse_request(*part);
+        if (!asked || asked->spec.has_value() != (target == "/peer/submit"))
+            co_return problem(400, "malformed");
+        auto kept = leader_;
+        auto* cells = leader() ? kept->cells() : nullptr;
+        if (!cells) co_return problem(503, "not entitled to act");
+        co_return co_await cells->asked(std::move(*asked));
+    }
+    if (target == "/peer/abstain") {
+        auto ms = wire::count(*body, "ms").value_or(0);
+        bool promise = co_await election_.asked_to_abstain(
+            std::chrono::milliseconds(std::min<std::uint64_t>(ms, 60'000)));
+        Json answer{{"promise", promise}};
+        co_return Response{200, std::move(answer)};
+    }
+    if (target == "/peer/hello") {
+        auto report = wire::parse_report(*body);
+        if (!report) co_return problem(400, "malformed");
+        auto kept = leader_;
+        if (!leader()) co_return problem(503, "not entitled to act");
+        co_return co_await kept->hello(std::move(*report), false);
+    }
+    if (target == "/peer/status" || target == "/peer/cancel" || target == "/peer/accepted") {
+        auto id = wire::text(*body, "id").value_or("");
+        if (!wire::valid_job_id(id)) co_return problem(400, "malformed");
+        auto kept = leader_;
+        if (!leader()) co_return problem(503, "not entitled to act");
+        if (target == "/peer/cancel") co_return co_await kept->cancel(id);
+        if (target == "/peer/accepted") {
+            co_await kept->accepted(id);
+            co_return Response{};
+        }
+        // Nothing: the asking node reads the state service itself.
+        auto s = kept->status(id);
+        if (!s || !kept->may_act()) co_return problem(503, "not known here");
+        co_return Response{200, wire::status_json(*s)};
+    }
+    if (target == "/peer/quota") {
+        // Not as a conditional expression in the call: GCC 12 destroys such temporaries of a coroutine twice,
+        // which ended the leader whenever a follower passed a question on.
+        auto query = wire::text(*body, "target").value_or("");
+        Json change = Json::object();
+        const Json* given = wire::find(*body, "change");
+        if (given) change = *given;
+        co_return co_await quotas(std::move(query), given != nullptr, std::move(change), true);
+    }
+    if (target == "/peer/explain") {
+        auto id = wire::text(*body, "id").value_or("");
+        co_return co_await explain(std::move(id), true);
+    }
+    if (target == "/peer/submit") {
+        auto spec = wire::parse_submission(*body);
+        if (!std::holds_alternative<wire::JobSpec>(spec)) co_return problem(400, "malformed");
+        co_return co_await submit_job(std::get<wire::JobSpec>(std::move(spec)), true);
+    }
+    co_return problem(404, "no such path");
+}
+
+}  // namespace barrowrun::api
