One piece each for the time of day, refusals, questions to machines, what fits a type, and what site tests share

Read over: wall_now() was wall_ms() again; quotas and cells had a problem() of their own; a term's tick asked machines in three places and walked all of them twice; an offer's room copied all machine types every 20 ms; fares_worse was peer_state_ok with a moment; sets of tasks were walked range by range in seven places; a map of open offers whose values nobody read was a flag; the fuzz target wrote the same pair of lines seven times; three site tests had their own submit, say and look for what ran twice.

--- a/src/api/cells.cpp
+++ b/src/api/cells.cpp
@@ -2,6 +2,8 @@
 
 #include <spdlog/spdlog.h>
 
+#include "api/answers.hpp"
+
 namespace barrowrun::api {
 using cells::Answer;
 using net::Response;
@@ -14,14 +16,6 @@
 namespace {
 constexpr std::size_t most_parts = 32;  // open at once
 constexpr std::size_t most_remembered = 1000;
-std::int64_t wall_now() {
-    return std::chrono::duration_cast<std::chrono::milliseconds>(
-               std::chrono::system_clock::now().time_since_epoch())
-        .count();
-}
-Response later(const char* why) {
-    return Response{503, {{"error", why}}, 1};
-}
 }  // namespace
 
 Cells::Cells(const cells::Settings& settings, Host host) : settings_(settings), host_(std::move(host)) {}
@@ -52,7 +46,7 @@
         // Open parts stay away until their neighbour says that they are over.
         if (auto* j = host_.cluster.find_job(job); j && record->record.open)
             host_.cluster.lend(*j, record->record.tasks);
-        lent_[job] = {record->to, cells::Lender(record->record), false, false, {}};
+        lent_[job] = {record->to, cells::Lender(record->record)};
     }
     for (auto& item : held.items) {
         const auto job = item.key.substr(5);
@@ -71,7 +65,7 @@
                 continue;
             }
         }
-        Holding h{record->owner, record->spec, record->accepted_ms, cells::Borrower(record->record), false};
+        Holding h{record->owner, record->spec, record->accepted_ms, cells::Borrower(record->record)};
         h.borrower.runs();  // until the cluster says that nothing of it is there
         host_.cluster.add_borrowed({h.spec, h.accepted_ms}, record->record.tasks, record->record.done, now,
                                    wall_ms);
@@ -80,8 +74,7 @@
     co_return true;
 }
 
-// ---- the owner's side
-// --------------------------------------------------------------------------------------
+// ---- the owner's side ----
 
 Task<> Cells::loop() {
     for (;;) {
@@ -125,7 +118,7 @@
     for (int level = 0; level < wire::priority_levels; ++level)
         for (auto& place : cluster.queue().level(level)) {
             auto* job = cluster.find_job(place.id);
-            if (!job || job->cancelled || job->borrowed || !job->away.empty()) continue;
+            if (!job || job->cancelled || job->borrowed) continue;
             if (auto l = lent_.find(place.id); l != lent_.end() && l->second.lender.away()) continue;
             waiting.push_back({place.id, job->spec.team, job->spec.sort, job->spec.need, job->waiting.size(),
                                now - job->accepted});
@@ -137,12 +130,9 @@
         auto& l = lent_[s.job];
         l.to = s.to;
         const auto n = tasks.size();
-        if (!l.lender.lend(tasks)) {
-            cluster.take_back(*job, tasks, {});
-            continue;
-        }
-        spiller_.sent(s.to, job->spec.need, n, now);
-        offers_[s.job] = {job->spec.need, n};
+        l.lender.lend(tasks);
+        spiller_.sent(s.to, job->spec.need, n);
+        l.unanswered = true;
         spdlog::info("{} tasks of {} go to cell {}", n, s.job, s.to);
     }
 }
@@ -232,7 +222,7 @@
     it->second.asking = false;
     auto now = Clock::now();
     if (!answer) co_return;  // nothing is known: the same again
-    if (answer->word != Answer::Word::later && offers_.erase(id)) {
+    if (answer->word != Answer::Word::later && std::exchange(it->second.unanswered, false)) {
         spiller_.answered(cell, now);
         if (answer->word == Answer::Word::over) {
             spiller_.refused(cell, now);
@@ -243,8 +233,7 @@
     step(id, now);
 }
 
-// ---- the neighbour's side
-// ----------------------------------------------------------------------------------
+// ---- the neighbour's side ----
 
 Json Cells::digest() {
     // One look at the machines for all neighbours that ask at about the same time.
@@ -260,15 +249,16 @@
 
 Task<Response> Cells::asked(cells::Request request) {
     const auto id = request.job;
-    if (!neighbour(request.from)) co_return Response{400, {{"error", "not a cell that is known here"}}};
+    if (!neighbour(request.from)) co_return problem(400, "not a cell that is known here");
     if (!held_.contains(id)) {
         // Nothing is held: an earlier turn that is over must be met all the same.
         auto over = co_await host_.state.get(cells::turn_key(id));
-        if (over.outcome != Outcome::ok && over.outcome != Outcome::absent) co_return later("not now");
+        if (over.outcome != Outcome::ok && over.outcome != Outcome::absent)
+            co_return problem(503, "not now", 1);
         cells::HeldRecord record;
         if (over.outcome == Outcome::ok) {
             auto parsed = cells::parse_over(over.value);
-            if (!parsed) co_return later("a record that cannot be read");
+            if (!parsed) co_return problem(503, "a record that cannot be read", 1);
             record = std::move(*parsed);
         }
         if (!held_.contains(id)) {
@@ -281,11 +271,11 @@
     auto end = Clock::now() + 2500ms;
     bool first = true;
     for (;;) {
-        if (!host_.may_act()) co_return later("not entitled to act");
+        if (!host_.may_act()) co_return problem(503, "not entitled to act", 1);
         auto it = held_.find(id);
-        if (it == held_.end()) co_return later("not now");
+        if (it == held_.end()) co_return problem(503, "not now", 1);
         Holding& h = it->second;
-        if (h.owner != request.from) co_return Response{400, {{"error", "the part is another cell's"}}};
+        if (h.owner != request.from) co_return problem(400, "the part is another cell's");
         std::optional<Answer> answer;
         if (request.spec) {
             const auto& s = *request.spec;
@@ -321,9 +311,9 @@
         auto* job = host_.cluster.find_job(id);
         if (it == held_.end() || !job) continue;
         cells::IndexSet done;
-        for (auto& [from, to] : it->second.borrower.record().tasks.ranges())
-            for (auto i = from; i < to; ++i)
-                if (job->done.contains(i)) done.insert(i);
+        it->second.borrower.record().tasks.each([&](std::uint32_t i) {
+            if (job->done.contains(i)) done.insert(i);
+        });
         it->second.borrower.finished(done);
         pump(id);
     }
@@ -369,7 +359,7 @@
     auto* job = cluster.find_job(id);
     if (record.holding && !held_before) {
         spdlog::info("{} tasks of {} come from cell {}", record.tasks.size(), id, h.owner);
-        cluster.add_borrowed({h.spec, h.accepted_ms}, record.tasks, record.done, Clock::now(), wall_now());
+        cluster.add_borrowed({h.spec, h.accepted_ms}, record.tasks, record.done, Clock::now(), wall_ms());
         h.borrower.runs();
         host_.wake_places();
     } else if (record.holding && job) {
--- a/src/api/cells.hpp
+++ b/src/api/cells.hpp
@@ -2,6 +2,7 @@
 // A leader's part with other cells: what it lends them and holds for them, as the records and answers say.
 #include <map>
 #include <memory>
+#include <utility>
 
 #include "cells/records.hpp"
 #include "cells/spill.hpp"
@@ -38,6 +39,7 @@
         std::string to;
         cells::Lender lender;
         bool writing = false, asking = false;
+        bool unanswered = false;  // offered in this term, and nothing was heard of it yet
         TimePoint asked{};
     };
     struct Holding {
@@ -65,7 +67,6 @@
     Json digest_;
     TimePoint digest_made_{};
     std::map<std::string, std::size_t> node_;  // which of a cell's nodes answered last
-    std::map<std::string, std::pair<wire::Resources, std::uint32_t>> offers_;  // not answered yet, by job
 };
 
 }  // namespace barrowrun::api
--- a/src/api/leader.cpp
+++ b/src/api/leader.cpp
@@ -8,12 +8,6 @@
 using state::Outcome;
 using namespace std::chrono_literals;
 
-std::int64_t wall_ms() {
-    return std::chrono::duration_cast<std::chrono::milliseconds>(
-               std::chrono::system_clock::now().time_since_epoch())
-        .count();
-}
-
 Leader::Leader(Services services, std::uint64_t token, TimePoint acquired)
     : services_(services),
       cluster_(services.settings.rules),
@@ -266,8 +260,12 @@
             cluster_.tick(now, [&](const std::string& zone) { return cover_.answered(zone, now); });
         const auto& rules = services_.settings.rules;
         int asked = 0;
+        bool any_up = false;
+        std::size_t up = 0;
         for (auto& [name, m] : cluster_.machines()) {
             cluster_.touch(name);
+            up += m->up;
+            any_up |= m->up || !m->entries.empty();
             if (!m->up && !m->address.empty() && now - m->probed > 2s && m->entries.size() > 0) {
                 if (++asked > asked_at_once) continue;
                 m->probed = now;
@@ -275,17 +273,13 @@
             } else if (m->up && !m->push_ok && !m->probing && now - m->probed > 3s) {
                 if (++asked > asked_at_once) continue;
                 m->probed = now;
-                m->probing = true;
-                spawn("probe " + name, probe(name));
+                ask(*m);
             }
         }
         auto verdict = silence_.judge(
             cluster_.machines(), now, acquired_, [this](auto& m) { return cluster_.runs_service(m); },
             now - services_.state.last_ok() <= 1500ms);
-        for (auto* m : verdict.ask) {
-            m->probing = true;
-            spawn("probe " + m->name, probe(m->name));
-        }
+        for (auto* m : verdict.ask) ask(*m);
         if (!verdict.give_up.empty()) {
             std::vector<std::string> gone;
             for (auto* m : verdict.give_up) {
@@ -297,9 +291,6 @@
             spawn("return", give_back(std::move(gone), true));
         }
         // A leader that no worker reaches is of no use, whatever the state service says.
-        bool any_up = false;
-        std::size_t up = 0;
-        for (auto& [name, m] : cluster_.machines()) up += m->up, any_up |= m->up || !m->entries.empty();
         // Nor one that workers reach only by way of others: it can send them nothing, and they it late.
         if (contact_.cut_off(now, up) && now >= behind_until_ && now - acquired_ > 8s &&
             services_.state.answers(now)) {
@@ -311,8 +302,7 @@
                 for (auto& [name, m] : cluster_.machines()) {
                     if (!m->up || m->probing || m->address.empty()) continue;
                     if (few-- == 0) break;
-                    m->probing = true;
-                    spawn("probe " + name, probe(name));
+                    ask(*m);
                 }
             } else if (now - ways_asked_ > 1500ms) {
                 spdlog::warn("no worker reaches this leader or answers it, but others pass their reports on");
--- a/src/api/leader.hpp
+++ b/src/api/leader.hpp
@@ -33,8 +33,6 @@
     std::vector<wire::MachineType>& catalog;  // machine types as last known
 };
 
-std::int64_t wall_ms();
-
 // Questions to machines beside their reports, at once: a share of what a process with a fraction of a core
 // can do.
 inline constexpr int asked_at_once = 16;
@@ -86,6 +84,10 @@
     Task<> give_back(std::vector<std::string> names, bool proof);
     Task<> push(std::string machine, bool fence);
     Task<> probe(std::string machine);
+    void ask(fleet::Machine& m) {  // unless a question to it is open
+        m.probing = true;
+        spawn("probe " + m.name, probe(m.name));
+    }
     Task<> fence_known(std::shared_ptr<std::deque<std::string>> names);
     Task<> restamp();
     void say_served(TimePoint now);
--- a/src/api/node.cpp
+++ b/src/api/node.cpp
@@ -151,8 +151,11 @@
 Response Node::health() {
     auto now = Clock::now();
     // When the state service refuses everyone, being out of rotation would only make the recovery slower.
-    // When it refuses this node alone, the others should get the users.
-    const bool ready = state_.answers(now) || !election_.fares_worse(now, state_.failing_since());
+    // When it refuses this node alone, the others should get the users. Only what another says 3 s later
+    // tells: in the first seconds of an outage for all, what others said still stems from before. Two nodes
+    // out of three took themselves out of the load balancer's rotation then, and each such removal doubles
+    // the pause of the next.
+    const bool ready = state_.answers(now) || !election_.peer_state_ok(now, state_.failing_since() + 3s);
     if (ready != ready_)
         spdlog::info(ready ? "ready for users again"
                            : "not ready for users: the state service refuses this node alone");
--- a/src/api/quotas.cpp
+++ b/src/api/quotas.cpp
@@ -2,6 +2,7 @@
 
 #include <spdlog/spdlog.h>
 
+#include "api/answers.hpp"
 #include "api/leader.hpp"
 
 namespace barrowrun::api {
@@ -28,10 +29,6 @@
         if (auto v = b.*quota::bound_fields[d]) out[quota::dimension_names[d]] = *v;
     return out;
 }
-
-Response no(int status, std::string why, int retry_after = 0) {
-    return Response{status, {{"error", std::move(why)}}, retry_after};
-}
 }  // namespace
 
 bool same_secret(const std::string& given, const std::string& kept) {
@@ -104,12 +101,12 @@
 net::Task<Response> Leader::change_quotas(Json body) {
     auto self = shared_from_this();
     const auto& rules = services_.settings.rules;
-    if (!rules.quotas) co_return no(409, "quotas are not switched on: see deploy/quotas.json");
-    if (!loaded_ || !may_act()) co_return no(503, "not now", 1);
+    if (!rules.quotas) co_return problem(409, "quotas are not switched on: see deploy/quotas.json");
+    if (!loaded_ || !may_act()) co_return problem(503, "not now", 1);
     auto parsed = quota::parse_change(body);
-    if (auto* wrong = std::get_if<std::string>(&parsed)) co_return no(400, *wrong);
+    if (auto* wrong = std::get_if<std::string>(&parsed)) co_return problem(400, *wrong);
     auto& change = std::get<quota::Change>(parsed);
-    if (changing_quotas_) co_return no(503, "another change is under way", 1);
+    if (changing_quotas_) co_return problem(503, "another change is under way", 1);
     // The same request again, since its answer was lost.
     for (auto& e : book_.history())
         if (!change.nonce.empty() && e.nonce == change.nonce)
@@ -149,7 +146,7 @@
         const bool last = at == next.writes.size();
         for (bool written = false; !written;) {
             if (!may_act())
-                co_return no(503, "this node no longer leads: look whether the change was made", 1);
+                co_return problem(503, "this node no longer leads: look whether the change was made", 1);
             std::vector<state::Condition> conditions{services_.election.fence()};
             auto outcome = co_await services_.state.txn(std::move(conditions), operations);
             if (outcome.outcome == Outcome::ok) {
@@ -173,12 +170,12 @@
                  change.set.size(), change.drop.size(), change.by, change.why);
     use_quotas(std::move(next.book), next.tree);
     place_wake_.wake();
-    if (!may_act()) co_return no(503, "this node no longer leads: look whether the change was made", 1);
+    if (!may_act()) co_return problem(503, "this node no longer leads: look whether the change was made", 1);
     co_return Response{200, {{"version", book_.version()}}};
 }
 
 Response Leader::quota_page(std::uint64_t since, std::uint64_t page) const {
-    if (!loaded_) return no(503, "not now", 1);
+    if (!loaded_) return problem(503, "not now", 1);
     const auto& ledger = cluster_.ledger();
     const auto& tree = ledger.tree();
     std::vector<std::uint64_t> waiting(tree.size());
--- a/src/base/clock.hpp
+++ b/src/base/clock.hpp
@@ -1,6 +1,7 @@
 #pragma once
 // Time, as everything here has it: the steady clock, and what its drift makes of a bound.
 #include <chrono>
+#include <cstdint>
 
 namespace barrowrun {
 using Clock = std::chrono::steady_clock;
@@ -20,4 +21,10 @@
 inline Clock::duration shorter(Clock::duration d) {
     return std::chrono::duration_cast<Clock::duration>(d * (1 - drift)) - std::chrono::milliseconds(20);
 }
+// The time of day, which records carry: it outlives a process, unlike the steady clock.
+inline std::int64_t wall_ms() {
+    return std::chrono::duration_cast<std::chrono::milliseconds>(
+               std::chrono::system_clock::now().time_since_epoch())
+        .count();
+}
 }  // namespace barrowrun
--- a/src/cells/handover.cpp
+++ b/src/cells/handover.cpp
@@ -1,15 +1,7 @@
 #include "cells/handover.hpp"
 
 namespace barrowrun::cells {
-namespace {
-IndexSet both(IndexSet a, const IndexSet& b) {
-    for (auto& [from, to] : b.ranges()) a.insert_range(from, to);
-    return a;
-}
-}  // namespace
-
-// ---- the owner
-// ---------------------------------------------------------------------------------------------
+// ---- the owner ----
 
 Lender::Next Lender::next() const {
     if (pending_) return *pending_;
@@ -37,7 +29,7 @@
 void Lender::answered(const Answer& answer) {
     if (!record_.open || pending_ || answer.turn != record_.turn) return;
     if (answer.word == Answer::Word::later) return;
-    done_ = both(std::move(done_), answer.done);
+    done_.insert(answer.done);
     held_ = answer.word == Answer::Word::holds;
     // Only now is it ours again, and only once that is on record: with what was done, or a successor would
     // run it a second time.
@@ -47,8 +39,7 @@
     pending_->done = done_;
 }
 
-// ---- the neighbour
-// -----------------------------------------------------------------------------------------
+// ---- the neighbour ----
 
 Answer Borrower::answer() const {
     return {record_.holding ? Answer::Word::holds : Answer::Word::over, record_.turn, record_.done};
@@ -83,13 +74,14 @@
 }
 
 void Borrower::finished(const IndexSet& tasks) {
-    if (record_.holding) done_ = both(std::move(done_), tasks);
+    if (record_.holding) done_.insert(tasks);
 }
 
 std::optional<HeldRecord> Borrower::next_write() const {
     if (pending_) return pending_;
     if (!record_.holding) return std::nullopt;
-    auto done = both(record_.done, done_);
+    auto done = record_.done;
+    done.insert(done_);
     const bool over = stopping_ && gone_;
     if (!over && done.size() == record_.done.size()) return std::nullopt;
     return HeldRecord{record_.turn, !over, record_.tasks, std::move(done)};
--- a/src/cells/handover.hpp
+++ b/src/cells/handover.hpp
@@ -25,7 +25,7 @@
 using state::IndexSet;
 using Turn = std::uint64_t;
 
-// ---- what is sent, in the users' protocol -----------------------------------------------------------------
+// ---- what is sent, in the users' protocol ----
 
 // POST /submissions with the job, and with it: whose, which turn, and which tasks.
 struct Offer {
@@ -48,8 +48,7 @@
     IndexSet done;
 };
 
-// ---- the owner
-// ---------------------------------------------------------------------------------------------
+// ---- the owner ----
 
 struct LentRecord {
     Turn turn = 0;  // the last that was used
@@ -96,8 +95,7 @@
     friend struct HandoverPeek;  // the search over all states
 };
 
-// ---- the neighbour
-// -----------------------------------------------------------------------------------------
+// ---- the neighbour ----
 
 struct HeldRecord {
     Turn turn = 0;
--- a/src/cells/spill.cpp
+++ b/src/cells/spill.cpp
@@ -110,7 +110,7 @@
     v.heard = now;
 }
 
-void Spiller::sent(const std::string& cell, const wire::Resources& need, std::uint32_t tasks, TimePoint) {
+void Spiller::sent(const std::string& cell, const wire::Resources& need, std::uint32_t tasks) {
     View& v = views_[cell];
     v.digest.take(need, tasks);
     ++v.open;
--- a/src/cells/spill.hpp
+++ b/src/cells/spill.hpp
@@ -51,7 +51,7 @@
     // `asked`: when the question was sent that it answers.
     void heard(const std::string& cell, Digest digest, TimePoint asked, TimePoint now);
     // A part was offered; its room is used from here on, whatever a digest from before says.
-    void sent(const std::string& cell, const wire::Resources& need, std::uint32_t tasks, TimePoint now);
+    void sent(const std::string& cell, const wire::Resources& need, std::uint32_t tasks);
     // The part was taken, or refused: digests asked for from here on know of it.
     void answered(const std::string& cell, TimePoint now);
     // A cell that refused is left alone for a while.
--- a/src/election/election.cpp
+++ b/src/election/election.cpp
@@ -38,15 +38,9 @@
     return std::nullopt;
 }
 
-bool Election::peer_state_ok(TimePoint now) const {
+bool Election::peer_state_ok(TimePoint now, TimePoint heard_after) const {
     for (auto& p : peers_)
-        if (p.state_ok && now - p.heard < 3s) return true;
-    return false;
-}
-
-bool Election::fares_worse(TimePoint now, TimePoint failing_since) const {
-    for (auto& p : peers_)
-        if (p.state_ok && now - p.heard < 3s && p.heard - failing_since >= 3s) return true;
+        if (p.state_ok && now - p.heard < 3s && p.heard >= heard_after) return true;
     return false;
 }
 
--- a/src/election/election.hpp
+++ b/src/election/election.hpp
@@ -65,12 +65,8 @@
     // A peer asks this node not to take over.
     Task<bool> asked_to_abstain(Clock::duration length);
     const std::vector<Peer>& peers() const { return peers_; }
-    bool peer_state_ok(TimePoint now) const;
-    // Whether the state service, which has failed this node since then, has served another one for long
-    // enough after that to tell. In the first seconds of an outage for all, what others said still stems from
-    // before: two nodes out of three took themselves out of the load balancer's rotation then, and each such
-    // removal doubles the pause of the next.
-    bool fares_worse(TimePoint now, TimePoint failing_since) const;
+    // Whether the state service serves another node, as that one said after the moment.
+    bool peer_state_ok(TimePoint now, TimePoint heard_after = {}) const;
 
   private:
     Task<> follow();
--- a/src/placement/borrowed.cpp
+++ b/src/placement/borrowed.cpp
@@ -1,4 +1,6 @@
 // What other cells run for this one, and what this one runs for them.
+#include <algorithm>
+
 #include "placement/cluster.hpp"
 
 namespace barrowrun::placement {
@@ -8,35 +10,33 @@
     if (job.cancelled || job.borrowed) return out;
     // The last in order go: the first are next here.
     std::uint32_t stay = job.waiting.size() - std::min(job.waiting.size(), most);
-    for (auto& [from, to] : job.waiting.ranges())
-        for (auto i = from; i < to; ++i) {
-            if (stay > 0)
-                --stay;
-            else if (!job.places.contains(i))
-                out.insert(i);
-        }
+    job.waiting.each([&](std::uint32_t i) {
+        if (stay > 0)
+            --stay;
+        else if (!job.places.contains(i))
+            out.insert(i);
+    });
     lend(job, out);
     return out;
 }
 
 void Cluster::lend(Job& job, const IndexSet& tasks) {
-    for (auto& [from, to] : tasks.ranges())
-        for (auto i = from; i < std::min(to, job.spec.tasks); ++i) {
-            if (job.done.contains(i)) continue;
-            set_waiting(job, i, false);
-            job.away.insert(i);
-        }
+    tasks.each([&](std::uint32_t i) {
+        if (i >= job.spec.tasks || job.done.contains(i)) return;
+        set_waiting(job, i, false);
+        job.away.insert(i);
+    });
 }
 
 void Cluster::take_back(Job& job, const IndexSet& tasks, const IndexSet& done) {
-    for (auto& [from, to] : tasks.ranges())
-        for (auto i = from; i < std::min(to, job.spec.tasks); ++i) {
-            job.away.erase(i);
-            if (done.contains(i))
-                finish_task(job, i);
-            else if (!job.done.contains(i) && !job.cancelled && !job.places.contains(i))
-                set_waiting(job, i, true);
-        }
+    tasks.each([&](std::uint32_t i) {
+        if (i >= job.spec.tasks) return;
+        job.away.erase(i);
+        if (done.contains(i))
+            finish_task(job, i);
+        else if (!job.done.contains(i) && !job.cancelled && !job.places.contains(i))
+            set_waiting(job, i, true);
+    });
     mark_dirty(job);
 }
 
@@ -44,9 +44,9 @@
                            TimePoint now, std::int64_t wall_ms) {
     state::Progress progress;
     progress.done = IndexSet::full(record.spec.tasks);
-    for (auto& [from, to] : tasks.ranges())
-        for (auto i = from; i < std::min(to, record.spec.tasks); ++i)
-            if (!done.contains(i)) progress.done.erase(i);
+    tasks.each([&](std::uint32_t i) {
+        if (!done.contains(i)) progress.done.erase(i);
+    });
     Job& job = add_job(record, &progress, now, wall_ms);
     // If all of it was done it has been marked as any other job would be.
     job.borrowed = true;
@@ -56,7 +56,7 @@
 }
 
 void Cluster::borrowed_recorded(Job& job, const IndexSet& done) {
-    for (auto& [from, to] : done.ranges()) job.durable_done.insert_range(from, to);
+    job.durable_done.insert(done);
     for (auto& [index, list] : job.places)
         for (auto& [name, number] : list) touch(name);
 }
@@ -72,9 +72,7 @@
 }
 
 bool Cluster::fits_some_type(const wire::JobSpec& spec) const {
-    std::vector<wire::MachineType> types;
-    for (auto& [name, t] : types_) types.push_back(t);
-    return placement::fits_some_type(spec, types);
+    return std::any_of(types_.begin(), types_.end(), [&](auto& t) { return fits_type(spec, t.second); });
 }
 
 void Cluster::free_rooms(TimePoint now, const std::function<void(const wire::Resources&)>& each) const {
--- a/src/placement/cluster.cpp
+++ b/src/placement/cluster.cpp
@@ -51,14 +51,15 @@
       sheets_(rules_.value_bytes),
       ledger_(first_tree(rules_)) {}
 
+bool fits_type(const wire::JobSpec& spec, const wire::MachineType& t) {
+    if (spec.types && std::find(spec.types->begin(), spec.types->end(), t.name) == spec.types->end())
+        return false;
+    if (spec.zone && std::find(t.zones.begin(), t.zones.end(), *spec.zone) == t.zones.end()) return false;
+    return spec.need.fits({t.cpus, t.gpus, t.mem_gb});
+}
+
 bool fits_some_type(const wire::JobSpec& spec, const std::vector<wire::MachineType>& types) {
-    for (auto& t : types) {
-        if (spec.types && std::find(spec.types->begin(), spec.types->end(), t.name) == spec.types->end())
-            continue;
-        if (spec.zone && std::find(t.zones.begin(), t.zones.end(), *spec.zone) == t.zones.end()) continue;
-        if (spec.need.fits({t.cpus, t.gpus, t.mem_gb})) return true;
-    }
-    return false;
+    return std::any_of(types.begin(), types.end(), [&](auto& t) { return fits_type(spec, t); });
 }
 
 void Cluster::set_types(std::vector<wire::MachineType> types) {
--- a/src/placement/cluster.hpp
+++ b/src/placement/cluster.hpp
@@ -96,7 +96,8 @@
     double run_guess() const { return runs >= 2 ? run_sum / runs : std::max(1.0, spec.estimate_s); }
 };
 
-// Whether a task could ever run on one of the types.
+// Whether a task could ever run on the type, or on one of them.
+bool fits_type(const wire::JobSpec& spec, const wire::MachineType& type);
 bool fits_some_type(const wire::JobSpec& spec, const std::vector<wire::MachineType>& types);
 
 // What one transaction carries, and what follows once it is durable.
--- a/src/state/records.hpp
+++ b/src/state/records.hpp
@@ -29,6 +29,15 @@
     bool insert(std::uint32_t i);  // false if it was there
     bool erase(std::uint32_t i);
     void insert_range(std::uint32_t from, std::uint32_t to);  // [from, to)
+    void insert(const IndexSet& others) {
+        for (auto& [from, to] : others.ranges_) insert_range(from, to);
+    }
+    // Members in order. The set must not change meanwhile.
+    template <class F>
+    void each(F&& f) const {
+        for (auto& [from, to] : ranges_)
+            for (auto i = from; i < to; ++i) f(i);
+    }
     std::uint32_t size() const { return size_; }
     bool empty() const { return size_ == 0; }
     std::optional<std::uint32_t> first() const;
--- a/tests/fuzz/untrusted.cpp
+++ b/tests/fuzz/untrusted.cpp
@@ -27,6 +27,13 @@
     return s;
 }
 
+// What is read is written back as something that is read again.
+template <auto parse>
+void reads_again(const wire::Json& body) {
+    if (auto value = parse(body))
+        if (!parse(to_json(*value))) std::abort();
+}
+
 }  // namespace
 
 extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t* data, std::size_t size) {
@@ -65,20 +72,13 @@
         }
     }
     quota::Book::read({{quota::head_key, *body}, {"quota/0a", *body}}, 16 * 1024);
-    if (auto sign = leases::parse_sign(*body))
-        if (!leases::parse_sign(leases::to_json(*sign))) std::abort();
-    if (auto grant = leases::parse_grant(*body))
-        if (!leases::parse_grant(leases::to_json(*grant))) std::abort();
-    if (auto request = cells::parse_request(*body))
-        if (!cells::parse_request(cells::to_json(*request))) std::abort();
-    if (auto answer = cells::parse_answer(*body))
-        if (!cells::parse_answer(cells::to_json(*answer))) std::abort();
-    if (auto digest = cells::parse_digest(*body))
-        if (!cells::parse_digest(cells::to_json(*digest))) std::abort();
-    if (auto lent = cells::parse_lent(*body))
-        if (!cells::parse_lent(cells::to_json(*lent))) std::abort();
-    if (auto held = cells::parse_held(*body))
-        if (!cells::parse_held(cells::to_json(*held))) std::abort();
+    reads_again<leases::parse_sign>(*body);
+    reads_again<leases::parse_grant>(*body);
+    reads_again<cells::parse_request>(*body);
+    reads_again<cells::parse_answer>(*body);
+    reads_again<cells::parse_digest>(*body);
+    reads_again<cells::parse_lent>(*body);
+    reads_again<cells::parse_held>(*body);
     cells::parse_over(*body);
     state::parse_past(*body);
     state::parse_sheet(*body);
--- a/tests/site/cells.sh
+++ b/tests/site/cells.sh
@@ -5,19 +5,11 @@
 # Prints 'N passed, N failed'.
 # usage: cells.sh BARROWCTL BARROWRUN-LAB
 #        (inside `barrowrun-lab run --cells 2 --machines 2 --machines-elsewhere 6 --cpus 1 -- ...`)
-set -u
-ctl=$(realpath "$1") lab=$(realpath "$2")
-export USER=tester
-root=$(dirname "$BARROWRUN_DEPOT") work=$(mktemp -d)
-cd "$work" || exit 1
-trap 'rm -rf "$work"' EXIT
+. "$(dirname "$0")/common.sh"
+root=$(dirname "$BARROWRUN_DEPOT")
 passed=0 failed=0
-say() { echo "FAILED $name: $*"; bad=1; }
-submit() { # tasks, command
-    printf '{"command":"%s","team":"lab","tasks":%s,"cpus":1,"mem_gb":0.1,"estimate_s":2}' "$2" "$1" > job.json
-    local id; id=$("$ctl" --json submit job.json 2> submit.err | grep -o 'wk-[0-9]*' | head -1)
-    [ -n "$id" ] || say "not accepted: $(cat submit.err)" >&2
-    echo "$id"
+tasks() { # how many, and the command of each; prints the id
+    submit "\"tasks\":$1,\"cpus\":1,\"mem_gb\":0.1,\"estimate_s\":2" "$2"
 }
 until_state() { # job, state, seconds
     local end=$((SECONDS + $3))
@@ -31,22 +23,21 @@
     [ "$(grep end "$name.log" | sort -u | wc -l)" -eq "$1" ] || say "$(grep end "$name.log" | sort -u | wc -l) of $1 tasks ended"
 }
 never_together() { # no two processes of a task at a time
-    local twice; twice=$(awk '{k=$2" "$3; if (!(k in f)) {f[k]=$4; t[k]=$2} l[k]=$4}
-        END {for (a in f) for (b in f) if (a < b && t[a] == t[b] && f[a] <= l[b] && f[b] <= l[a]) print a, "and", b}' "$name.log")
+    local twice; twice=$(ran_twice "$name.log")
     [ -z "$twice" ] || say "ran twice at a time: $twice"
 }
 task() { # seconds of work; writes a line at the beginning, every 0.2 s and at the end
-    echo "w=$work/$name.log; line() { echo \$1 \$BARROW_TASK \$\$ \$(date +%s.%N) >> \$w; }; line begin; for i in \$(seq $(($1 * 5))); do sleep 0.2; line beat; done; line end" | sed 's/\\/\\\\/g; s/"/\\"/g'
+    echo "w=$work/$name.log; line() { echo \$(date +%s.%N) \$BARROW_TASK \$\$ \$1 >> \$w; }; line begin; for i in \$(seq $(($1 * 5))); do sleep 0.2; line beat; done; line end"
 }
 fault() { BARROWRUN_LAB= "$lab" fault "$@" > /dev/null || say "the fault $* was not brought about"; }
 spilled() { grep -hs "tasks of $1 come from cell cell-1" "$root"/cell-2/logs/barrow-* | grep -q . || say "nothing of $1 was run by the other cell"; }
 
 case_overflow() {
-    local id; id=$(submit 12 "$(task 2)")
+    local id; id=$(tasks 12 "$(task 2)")
     until_state "$id" done 60 && { spilled "$id"; once 12; never_together; }
 }
 case_cut_and_killed() {
-    local id; id=$(submit 16 "$(task 3)")
+    local id; id=$(tasks 16 "$(task 3)")
     sleep 4
     fault cut cell:cell-2 --for 4 --dir "$root/cell-1"
     fault kill leader --dir "$root/cell-2"
@@ -59,12 +50,12 @@
     spilled "$id"
 }
 case_cancelled() {
-    local id; id=$(submit 16 "$(task 30)")
+    local id; id=$(tasks 16 "$(task 30)")
     sleep 6
     spilled "$id"
     "$ctl" cancel "$id" > /dev/null || say "not cancelled"
     sleep 8
-    local after; after=$(awk -v now="$(date +%s.%N)" '$4 > now - 1' "$name.log" | wc -l)
+    local after; after=$(awk -v now="$(date +%s.%N)" '$1 > now - 1' "$name.log" | wc -l)
     [ "$after" -eq 0 ] || say "$after beats of tasks 8 s after the cancellation"
     until_state "$id" withdrawn 10
 }
--- a/tests/site/cut.sh
+++ b/tests/site/cut.sh
@@ -3,18 +3,12 @@
 # nodes that are left keep the workers' leases, and what runs goes on. Prints 'N passed, N failed'.
 # usage: cut.sh BARROWCTL BARROWRUN-LAB kept|lost    (inside `barrowrun-lab run --machines 4 --cpus 1 --lease-s 8 -- ...`;
 #        `lost`: with keep_leases switched off, the same must cost the leases, or this test could not fail)
-set -u
-ctl=$(realpath "$1") lab=$(realpath "$2") expected=$3
-export USER=tester
-site=$(dirname "$BARROWRUN_DEPOT") work=$(mktemp -d)
-cd "$work" || exit 1
-trap 'rm -rf "$work"' EXIT
+. "$(dirname "$0")/common.sh"
+expected=$3 site=$(dirname "$BARROWRUN_DEPOT")
 bad=0
-say() { echo "FAILED: $*"; bad=1; }
 # Each start of a task leaves a line.
-printf '{"command":"echo $$ >> %s/starts; sleep 20","team":"lab","tasks":4,"rank":"normal","cpus":1,"mem_gb":0.1}' "$work" > job.json
-id=$("$ctl" --json submit job.json 2> submit.err | grep -o 'wk-[0-9]*' | head -1)
-[ -n "$id" ] || { say "not accepted: $(cat submit.err)"; }
+id=$(submit '"tasks":4,"rank":"normal","cpus":1,"mem_gb":0.1' "echo \$\$ >> $work/starts; sleep 20")
+[ -n "$id" ] || bad=1
 starts() { [ -f starts ] && wc -l < starts || echo 0; }
 for _ in $(seq 100); do [ "$(starts)" -ge 4 ] && break; sleep 0.1; done
 [ "$(starts)" -eq 4 ] || say "$(starts) of 4 tasks started"
--- a/tests/site/zone.sh
+++ b/tests/site/zone.sh
@@ -6,22 +6,11 @@
 # usage: zone.sh BARROWCTL BARROWRUN-LAB
 #        (inside `barrowrun-lab run --zones east,west --machines 16 --cpus 1 --lease-s 12 -- ...`; a worker
 #        needs up to 10 s to find the node of its zone, so that a shorter lease tells nothing)
-set -u
-ctl=$(realpath "$1") lab=$(realpath "$2")
-export USER=tester
-site=$(dirname "$BARROWRUN_DEPOT") work=$(mktemp -d)
-cd "$work" || exit 1
-trap 'rm -rf "$work"' EXIT
+. "$(dirname "$0")/common.sh"
+site=$(dirname "$BARROWRUN_DEPOT")
 bad=0
-say() { echo "FAILED: $*"; bad=1; }
 # A task tells five times a second that it runs: moment, task, process.
 beat='while :; do printf "%s %s %s\n" "$(date +%s.%N)" "$BARROW_JOB/$BARROW_TASK" $$ >> '"$work"'/beats; sleep 0.2; done'
-submit() { # more of the description; prints the id
-    printf '{"command":"%s","team":"lab",%s}' "$(printf '%s' "$2" | sed 's/\\/\\\\/g; s/"/\\"/g')" "$1" > job.json
-    local id; id=$("$ctl" --json submit job.json 2> submit.err | grep -o 'wk-[0-9]*' | head -1)
-    [ -n "$id" ] || say "not accepted: $(cat submit.err)"
-    echo "$id"
-}
 alive() { # tasks of a job that told so within the last second
     awk -v now="$(date +%s.%N)" -v job="$1/" '$1 > now - 1 && index($2, job) == 1 {t[$2]=1} END {n=0; for (x in t) n++; print n}' beats 2> /dev/null || echo 0
 }
@@ -56,9 +45,7 @@
     [ $SECONDS -lt $end ] || { say "the work of the zone is not done within 60 s"; break; }
     sleep 0.5
 done
-# Two processes of one task whose beats lie among each other: it ran twice at a time.
-twice=$(awk '{k=$2" "$3; if (!(k in first)) {first[k]=$1; task[k]=$2} last[k]=$1}
-    END {for (a in first) for (b in first) if (a < b && task[a] == task[b] && first[a] <= last[b] && first[b] <= last[a]) print a, "and", b}' beats)
+twice=$(ran_twice beats)
 [ -z "$twice" ] || say "ran twice: $twice"
 grep -qs 'keeps the leases of its zone' "$site"/logs/barrow-* || say "no node kept a lease"
 grep -qs 'the lease has run out' "$site"/machines/*/log || say "no lease ran out: the cut was too short to tell anything"
--- a/tests/spill_test.cpp
+++ b/tests/spill_test.cpp
@@ -58,7 +58,7 @@
 TEST(Spill, WhatWasSentCountsUntilADigestKnowsOfIt) {
     Spiller s;
     s.heard("west", room(2), t0, t0);
-    s.sent("west", {1, 0, 1}, 8, t0);
+    s.sent("west", {1, 0, 1}, 8);
     EXPECT_TRUE(s.choose(two(), {job("wk-2", 5)}, t0, 8).empty());
     s.heard("west", room(2), t0 + 1s, t0 + 1s);
     EXPECT_TRUE(s.choose(two(), {job("wk-2", 5)}, t0 + 1s, 8).empty()) << "the part is not answered yet";
