A neighbour's word counts only for tasks that its part has

Cause, found by reading: what an answer said was done was taken over whole. A range beyond the part, or beyond the job, would have been finished here, and the job been called done before all of its tasks were.

Change: Lender keeps what lies within the part.

--- a/src/cells/handover.cpp
+++ b/src/cells/handover.cpp
@@ -29,7 +29,10 @@
 void Lender::answered(const Answer& answer) {
     if (!record_.open || pending_ || answer.turn != record_.turn) return;
     if (answer.word == Answer::Word::later) return;
-    done_.insert(answer.done);
+    // Of a task that the part doesn't have it can't know.
+    answer.done.each([&](std::uint32_t i) {
+        if (record_.tasks.contains(i)) done_.insert(i);
+    });
     held_ = answer.word == Answer::Word::holds;
     // Only now is it ours again, and only once that is on record: with what was done, or a successor would
     // run it a second time.
--- a/tests/handover_test.cpp
+++ b/tests/handover_test.cpp
@@ -276,3 +276,22 @@
         EXPECT_NE(s.wrong, "") << "mistake " << static_cast<int>(m);
     }
 }
+
+// What a neighbour says is done is looked at task by task: one that it was never given, or that the job
+// doesn't have, would make the job count as done before it is.
+TEST(Handover, OnlyTasksOfThePartCanBeDoneThere) {
+    IndexSet part, said;
+    part.insert_range(2, 5);
+    said.insert_range(4, 9);
+    Lender owner;
+    ASSERT_TRUE(owner.lend(part));
+    owner.wrote();
+    owner.answered({Answer::Word::holds, 1, said});
+    EXPECT_EQ(owner.done().size(), 1u);
+    owner.answered({Answer::Word::over, 1, said});
+    auto next = owner.next();
+    ASSERT_TRUE(std::holds_alternative<Lender::Write>(next));
+    const auto& done = std::get<Lender::Write>(next).done;
+    EXPECT_EQ(done.size(), 1u);
+    EXPECT_TRUE(done.contains(4));
+}
