Each process of a loopback site chooses ports on an address of its own

Brought about here: of 360 sites started six at a time, two came up only after 1.6 s, with 'bind: Address already in use' from a controller, the state stand-in and the cloud stand-in in their logs: what looked for ports for one site's workers held, or took, a port that another process had been promised and did not listen at yet.

Change: free_address() chooses on a loopback address made from the process's number, so that no two processes look at the same ports.

--- a/src/lab/child.cpp
+++ b/src/lab/child.cpp
@@ -5,7 +5,6 @@
 #include <unistd.h>
 
 #include <cerrno>
-#include <random>
 #include <stdexcept>
 #include <system_error>
 
@@ -50,20 +49,23 @@
 }
 
 std::string free_address() {
-    // Below the ports that outgoing connections are given: between the choice and the listening one of those
-    // was taken now and then, and the site did not come up.
+    // Each process chooses on a loopback address of its own, by its number. On one that is shared, what looked for
+    // ports for another site's workers took, or held while it tried, what a controller had been promised and did not
+    // listen at yet, and the site did not come up.
+    const auto pid = static_cast<unsigned>(::getpid());
+    const net::asio::ip::address_v4 own(0x7f400000u | (pid & 0x3fffffu));  // 127.64.0.0 to 127.127.255.255
+    // Below the ports that outgoing connections are given.
     constexpr unsigned first = 10'000, last = 32'000;
-    static unsigned next = first + std::random_device{}() % (last - first);
+    static unsigned next = first;
     net::asio::io_context io;
     for (unsigned tries = first; tries < last; ++tries) {
         next = next + 1 < last ? next + 1 : first;
-        net::asio::ip::tcp::endpoint at(net::asio::ip::make_address("127.0.0.1"),
-                                        static_cast<unsigned short>(next));
+        net::asio::ip::tcp::endpoint at(own, static_cast<unsigned short>(next));
         net::asio::ip::tcp::acceptor a(io);
         boost::system::error_code ec;
         a.open(at.protocol(), ec);
         a.bind(at, ec);
-        if (!ec) return "127.0.0.1:" + std::to_string(next);
+        if (!ec) return own.to_string() + ":" + std::to_string(next);
     }
     throw std::runtime_error("no port is free below 32000");
 }
