--- a/bench/quota_bench.cpp
+++ b/bench/quota_bench.cpp
@@ -61,6 +61,11 @@
         for (std::size_t i = 0; i < machines / 25; ++i) cluster->round(now);
         write();
         for (std::size_t i = 0; i < machines; ++i) report(i, false);
+        // Files the machines that have all just reported: else the first measured round would, and its share
+        // of the mean grew with the fleet (2.75 times from 1,000 to 10,000 machines, over 400 rounds).
+        cluster->round(now);
+        write();
+        cluster->take_touched();
     }
     void write() {
         for (auto& w : cluster->take_writes(100'000, 1 << 30, now, 0))
