Parts of jobs come back from a cell that isn't heard, by class

Need: a neighbour that was cut off kept what it had been given for as long as the cut lasted; the first of what was missing of cells.

It is on record at the owner before it is sent, and set anew while the neighbour is heard; the neighbour stops early enough that leases bring all of it to an end by then, answers no report of a machine that may hold it past that, and a new leader answers none before it knows its parts. The owner takes back what it has not heard to be done.

Found by the new site test: a leader that lived for half a second placed tasks of a part whose end was over, before its first look at ends; they ran twice at a time. The look now comes with the taking over and before every round.

--- a/src/api/cells.cpp
+++ b/src/api/cells.cpp
@@ -31,11 +31,48 @@
     return n->nodes[node_[cell] % n->nodes.size()];
 }
 
-Task<bool> Cells::load(TimePoint now, std::int64_t wall_ms) {
+std::optional<DayTime> Cells::end_for(const std::string& job_class) const {
+    auto it = settings_.return_after.find(job_class);
+    if (it == settings_.return_after.end()) return std::nullopt;
+    return day_now() + it->second;
+}
+
+Task<bool> Cells::read() {
     auto lent = co_await host_.state.list("lent/");
     if (!lent.ok) co_return false;
     auto held = co_await host_.state.list("held/");
     if (!held.ok) co_return false;
+    for (auto& item : held.items) {
+        auto record = cells::parse_held(item.value);
+        // What can't be read may have an end.
+        const auto end = record ? record->record.until : DayTime{};
+        if (end) first_end_ = std::min(first_end_.value_or(*end), *end);
+    }
+    lent_records_ = std::move(lent);
+    held_records_ = std::move(held);
+    co_return true;
+}
+
+bool Cells::may_renew(const wire::Report& report, const fleet::Machine* m) const {
+    const auto now = day_now();
+    // Nothing is known yet of what machines hold: none is answered once something may have to be gone.
+    if (!m) return lent_records_ && (!first_end_ || now < stop_by(*first_end_));
+    for (auto& [id, h] : held_) {
+        const auto end = h.borrower.until();
+        if (!end || !h.borrower.record().holding || now < stop_by(*end) + host_.renewed_within) continue;
+        auto names = [&](const wire::Attempt& a) { return a.task.job == id; };
+        if (std::any_of(report.tasks.begin(), report.tasks.end(),
+                        [&](auto& t) { return names(t.attempt); }) ||
+            std::any_of(m->entries.begin(), m->entries.end(),
+                        [&](auto& e) { return names(e.first) && !e.second.exited(); }))
+            return false;
+    }
+    return true;
+}
+
+Task<bool> Cells::load(TimePoint now, std::int64_t wall_ms) {
+    const auto& lent = *lent_records_;
+    const auto& held = *held_records_;
     for (auto& item : lent.items) {
         const auto job = item.key.substr(5);
         auto record = cells::parse_lent(item.value);
@@ -71,6 +108,7 @@
                                    wall_ms);
         held_[job] = std::move(h);
     }
+    lent_records_ = held_records_ = state::Listing{};  // taken over
     co_return true;
 }
 
@@ -130,7 +168,7 @@
         auto& l = lent_[s.job];
         l.to = s.to;
         const auto n = tasks.size();
-        l.lender.lend(tasks);
+        l.lender.lend(tasks, end_for(job->spec.job_class));
         spiller_.sent(s.to, job->spec.need, n);
         l.unanswered = true;
         spdlog::info("{} tasks of {} go to cell {}", n, s.job, s.to);
@@ -149,6 +187,10 @@
         return;
     }
     if (!job || l.writing || l.asking) return;
+    if (l.lender.run_out(day_now(), host_.clock_error))
+        spdlog::warn(
+            "cell {} isn't heard: its part of {} comes back, {} of {} tasks done there as far as known", l.to,
+            id, l.lender.done().size(), l.lender.record().tasks.size());
     auto next = l.lender.next();
     if (auto* write = std::get_if<cells::Lender::Write>(&next)) {
         if (!write->record.open) {
@@ -198,11 +240,12 @@
     if (it == lent_.end()) co_return;
     auto* job = host_.cluster.find_job(id);
     auto next = it->second.lender.next();
-    cells::Request request{settings_.self, id, it->second.lender.record().turn, std::nullopt, {}, 0};
+    cells::Request request{settings_.self, id, it->second.lender.record().turn, std::nullopt, {}, 0, {}};
     if (auto* offer = std::get_if<cells::Offer>(&next); offer && job) {
         request.spec = job->spec;
         request.tasks = offer->tasks;
         request.accepted_ms = job->accepted_ms;
+        request.until = offer->until;
     }
     const std::string cell = it->second.to;
     std::optional<Answer> answer;
@@ -230,6 +273,13 @@
         }
     }
     it->second.lender.answered(*answer);
+    // It is heard: the end is put off, some time before it would make anything stop there.
+    if (const auto& until = it->second.lender.record().until;
+        until && answer->word == Answer::Word::holds && job) {
+        const auto length = settings_.return_after.find(job->spec.job_class);
+        if (length != settings_.return_after.end() && *until - day_now() < length->second * 9 / 10)
+            it->second.lender.renew(day_now() + length->second);
+    }
     step(id, now);
 }
 
@@ -285,8 +335,9 @@
             }
             const bool room = settings_.may_come(s.team, request.from) &&
                               host_.cluster.queue().waiting() == 0 && !host_.cluster.find_job(id) &&
-                              host_.cluster.fits_some_type(s);
-            answer = h.borrower.offered({request.turn, request.tasks}, room);
+                              host_.cluster.fits_some_type(s) &&
+                              (!request.until || day_now() < stop_by(*request.until));
+            answer = h.borrower.offered({request.turn, request.tasks, request.until}, room);
         } else {
             answer = h.borrower.recalled({request.turn});
             if (h.borrower.stopping())
@@ -305,6 +356,15 @@
     }
 }
 
+void Cells::stop_in_time() {
+    for (auto& [id, h] : held_)
+        if (auto end = h.borrower.until(); end && h.borrower.run_out(day_now() + (*end - stop_by(*end)))) {
+            spdlog::warn("cell {} isn't heard: the part of {} stops here", h.owner, id);
+            if (auto* job = host_.cluster.find_job(id); job && job->borrowed && !job->cancelled)
+                host_.cluster.cancel(*job, Clock::now());
+        }
+}
+
 void Cells::look_at_borrowed() {
     for (auto& id : host_.cluster.take_borrowed_changes()) {
         auto it = held_.find(id);
@@ -317,6 +377,7 @@
         it->second.borrower.finished(done);
         pump(id);
     }
+    stop_in_time();
     for (auto& [id, h] : held_)
         if (h.borrower.stopping()) {
             auto* job = host_.cluster.find_job(id);
--- a/src/api/cells.hpp
+++ b/src/api/cells.hpp
@@ -24,12 +24,24 @@
         std::function<bool()> may_act;
         std::function<void()> wake_writes, wake_places;
         std::function<void(std::string, net::Task<>)> spawn;  // ends with the term
+        std::chrono::milliseconds clock_error;
+        // A cancelled job's tasks are gone within this; and how long after it was cancelled the last answer
+        // that renews a lease of a machine that may hold one of them may be given, so that this holds.
+        std::chrono::milliseconds gone_within, renewed_within;
     };
     Cells(const cells::Settings& settings, Host host);
-    // Reads the records of parts. False: not now. Before anything is started.
+    // Reads the records of parts. False: not now. Before any other.
+    net::Task<bool> read();
+    // Takes them over. False: not now. Before anything is started.
     net::Task<bool> load(TimePoint now, std::int64_t wall_ms);
+    // Whether a report may be answered, which renews the worker's lease: what a part with an end may have on
+    // the machine must be gone in time. `m`: absent while the records are being read.
+    bool may_renew(const wire::Report& report, const fleet::Machine* m) const;
     // Once a second or so: spills, sends again what has no answer, asks for what is done.
     net::Task<> loop();
+    // Stops what must be gone before long. Before every round, the first above all: leaders that follow each
+    // other faster than `loop` looks started tasks of a part whose end was over.
+    void stop_in_time();
     // Another cell's request: an offer or a recall.
     net::Task<net::Response> asked(cells::Request request);
     wire::Json digest();
@@ -58,12 +70,21 @@
     net::Task<> ask_digest(std::string cell, std::string node);
     const cells::Neighbour* neighbour(const std::string& name) const;
     const std::string& node_of(const std::string& cell);
+    std::optional<DayTime> end_for(const std::string& job_class) const;
+    // When what has the end must be told to stop here.
+    DayTime stop_by(DayTime until) const { return until - host_.gone_within - 2 * host_.clock_error - slack; }
+
+    static constexpr std::chrono::seconds slack{2};  // until the next look, and a takeover's records are read
 
     const cells::Settings& settings_;
     Host host_;
     cells::Spiller spiller_;
     std::map<std::string, Lending> lent_;
     std::map<std::string, Holding> held_;
+    // As read, until they are taken over; and the first end among those held, of one that can't be read: long
+    // ago.
+    std::optional<state::Listing> lent_records_, held_records_;
+    std::optional<DayTime> first_end_;
     Json digest_;
     TimePoint digest_made_{};
     std::map<std::string, std::size_t> node_;  // which of a cell's nodes answered last
--- a/src/api/leader.cpp
+++ b/src/api/leader.cpp
@@ -27,9 +27,14 @@
     if (!services_.settings.cells) return;
     cells_ = std::make_unique<Cells>(
         *services_.settings.cells,
-        Cells::Host{cluster_, services_.state, services_.peers, [this] { return may_act(); },
-                    [this] { write_wake_.wake(); }, [this] { place_wake_.wake(); },
-                    [this](std::string name, Task<> duty) { spawn(std::move(name), std::move(duty)); }});
+        Cells::Host{
+            cluster_, services_.state, services_.peers, [this] { return may_act(); },
+            [this] { write_wake_.wake(); }, [this] { place_wake_.wake(); },
+            [this](std::string name, Task<> duty) { spawn(std::move(name), std::move(duty)); },
+            services_.settings.clock_error,
+            std::chrono::ceil<std::chrono::milliseconds>(longer(secs(services_.settings.rules.cancel_s))),
+            std::chrono::floor<std::chrono::milliseconds>(
+                leases::keep_for(services_.settings.rules.lease_s, services_.settings.rules.cancel_s))});
 }
 
 std::optional<leases::Grant> Leader::grant() const {
@@ -166,6 +171,7 @@
             continue;
         }
         if (Clock::now() - acquired_ < 150ms) co_await net::sleep_for(100ms);
+        if (cells_) cells_->stop_in_time();
         cluster_.round(Clock::now());
         if (cluster_.has_writes()) write_wake_.wake();
         send_touched();
--- a/src/api/takeover.cpp
+++ b/src/api/takeover.cpp
@@ -13,6 +13,10 @@
 
 Task<> Leader::load() {
     auto begun = Clock::now();
+    // First of all: parts of other cells' jobs may have to be gone by a moment, and until it is known
+    // whether, no report is answered.
+    if (cells_)
+        while (!co_await cells_->read()) co_await net::sleep_for(200ms);
     std::optional<state::Snapshot> read;
     while (!(read = co_await services_.state.snapshot())) {
         spdlog::warn("the records could not be read, once more");
@@ -77,6 +81,7 @@
     for (auto& [name, when] : early_answer_)
         if (auto* m = cluster_.find_machine(name)) m->last_answer = std::max(m->last_answer, when);
     early_answer_.clear();
+    if (cells_) cells_->stop_in_time();
     loaded_ = true;
     last_hello_ = now;
     spdlog::info("took over after {:.0f} ms: {} active jobs, {} machines on record, {} rentals open",
--- a/src/api/workers.cpp
+++ b/src/api/workers.cpp
@@ -16,6 +16,7 @@
     direct ? contact_.direct(now) : contact_.passed_on(now);
     auto token = services_.election.token();
     if (!loaded_) {
+        if (cells_ && !cells_->may_renew(report, nullptr)) co_return not_entitled;
         // Its lease is renewed while the records are still being read.
         early_answer_[report.machine] = now;
         auto [it, fresh] = early_.try_emplace(report.machine, report);
@@ -28,6 +29,7 @@
     auto* m = cluster_.find_machine(report.machine);
     if (!m) co_return not_entitled;
     if (!newer && report.session != m->session) co_return not_entitled;
+    if (cells_ && !cells_->may_renew(report, m)) co_return not_entitled;
     // Not newer, but of this session: an answer to a push has overtaken it. The worker still waits for this
     // one.
     std::vector<wire::Command> commands;
--- a/src/base/clock.hpp
+++ b/src/base/clock.hpp
@@ -22,9 +22,11 @@
     return std::chrono::duration_cast<Clock::duration>(d * (1 - drift)) - std::chrono::milliseconds(20);
 }
 // The time of day, which records carry: it outlives a process, unlike the steady clock.
+using DayTime = std::chrono::sys_time<std::chrono::milliseconds>;
+inline DayTime day_now() {
+    return std::chrono::time_point_cast<std::chrono::milliseconds>(std::chrono::system_clock::now());
+}
 inline std::int64_t wall_ms() {
-    return std::chrono::duration_cast<std::chrono::milliseconds>(
-               std::chrono::system_clock::now().time_since_epoch())
-        .count();
+    return day_now().time_since_epoch().count();
 }
 }  // namespace barrowrun
--- a/src/cells/handover.cpp
+++ b/src/cells/handover.cpp
@@ -1,5 +1,7 @@
 #include "cells/handover.hpp"
 
+#include <algorithm>
+
 namespace barrowrun::cells {
 // ---- the owner ----
 
@@ -8,17 +10,39 @@
     if (!record_.open) return {};
     if (recalling_) return Recall{record_.turn};
     // Again while it is held, too: the answer tells what is done.
-    return Offer{record_.turn, record_.tasks};
+    return Offer{record_.turn, record_.tasks, record_.until};
 }
 
-bool Lender::lend(IndexSet tasks) {
+bool Lender::lend(IndexSet tasks, std::optional<DayTime> until) {
     if (pending_ || record_.open || tasks.empty()) return false;
-    pending_ = Write{{record_.turn + 1, true, std::move(tasks)}, {}};
+    pending_ = Write{{record_.turn + 1, true, std::move(tasks), until}, {}};
     recalling_ = held_ = false;
     done_ = {};
     return true;
 }
 
+void Lender::renew(DayTime until) {
+    if (pending_ || !record_.open || !record_.until || recalling_ || until <= *record_.until) return;
+    pending_.emplace();
+    pending_->record = record_;
+    pending_->record.until = until;
+}
+
+bool Lender::run_out(DayTime now, std::chrono::milliseconds apart) {
+    // A later end whose record is under way counts: it may be on record, and be found there by a successor
+    // that sends it.
+    if (pending_ || !record_.open || !record_.until || now <= *record_.until + apart) return false;
+    close();
+    return true;
+}
+
+// Ours again once that is on record: with what was done, or a successor would run it a second time.
+void Lender::close() {
+    pending_.emplace();
+    pending_->record.turn = record_.turn;
+    pending_->done = done_;
+}
+
 void Lender::wrote() {
     if (!pending_) return;
     record_ = std::move(pending_->record);
@@ -34,12 +58,7 @@
         if (record_.tasks.contains(i)) done_.insert(i);
     });
     held_ = answer.word == Answer::Word::holds;
-    // Only now is it ours again, and only once that is on record: with what was done, or a successor would
-    // run it a second time.
-    if (answer.word != Answer::Word::over) return;
-    pending_.emplace();
-    pending_->record.turn = record_.turn;
-    pending_->done = done_;
+    if (answer.word == Answer::Word::over) close();
 }
 
 // ---- the neighbour ----
@@ -50,10 +69,14 @@
 
 std::optional<Answer> Borrower::offered(const Offer& offer, bool room) {
     if (offer.turn < record_.turn) return Answer{Answer::Word::over, offer.turn, {}};
-    if (offer.turn == record_.turn) return answer();
+    if (offer.turn == record_.turn) {
+        if (record_.holding && !stopping_ && until_ && offer.until) until_ = std::max(*until_, *offer.until);
+        return answer();
+    }
     // A new turn while the last is not over: its owner has forgotten what it knew. Nothing is decided.
     if (record_.holding) return Answer{Answer::Word::later, offer.turn, {}};
-    if (!pending_ || pending_->turn < offer.turn) pending_ = HeldRecord{offer.turn, room, offer.tasks, {}};
+    if (!pending_ || pending_->turn < offer.turn)
+        pending_ = HeldRecord{offer.turn, room, offer.tasks, {}, offer.until};
     return std::nullopt;
 }
 
@@ -68,7 +91,7 @@
     // Of a turn that was never heard of, or whose acceptance is being written: the refusal that its copies
     // will meet.
     if (!pending_ || pending_->turn < recall.turn) {
-        pending_ = HeldRecord{recall.turn, false, {}, {}};
+        pending_ = HeldRecord{recall.turn, false, {}, {}, {}};
     } else if (pending_->turn == recall.turn && pending_->holding) {
         // Its record may be under way: it is refused once that is known.
         stopping_ = true;
@@ -76,6 +99,12 @@
     return std::nullopt;
 }
 
+bool Borrower::run_out(DayTime stop_by) {
+    if (!record_.holding || stopping_ || !until_ || stop_by < *until_) return false;
+    stopping_ = true;
+    return true;
+}
+
 void Borrower::finished(const IndexSet& tasks) {
     if (record_.holding) done_.insert(tasks);
 }
@@ -86,8 +115,10 @@
     auto done = record_.done;
     done.insert(done_);
     const bool over = stopping_ && gone_;
-    if (!over && done.size() == record_.done.size()) return std::nullopt;
-    return HeldRecord{record_.turn, !over, record_.tasks, std::move(done)};
+    // A later end need not be on record before it counts: a successor that knows the earlier one stops
+    // sooner.
+    if (!over && done.size() == record_.done.size() && until_ == record_.until) return std::nullopt;
+    return HeldRecord{record_.turn, !over, record_.tasks, std::move(done), until_};
 }
 
 void Borrower::wrote(const HeldRecord& record) {
@@ -97,6 +128,7 @@
     if (another) {
         done_ = {};
         gone_ = true;
+        until_ = record_.until;
     }
     if (!record_.holding) stopping_ = false, done_ = {};
 }
--- a/src/cells/handover.hpp
+++ b/src/cells/handover.hpp
@@ -12,12 +12,21 @@
 // given back once nothing of it is on its machines any more. A refusal is on record too, since a copy of the
 // offer may still be under way; it is told by its turn and meets the record. No answer means unknown: the
 // offer, or the recall, is sent again.
+//
+// A part may have an end, a moment of the day until which the neighbour may have any of it on a machine. Then
+// a neighbour that isn't heard any more doesn't keep it: the owner takes it back after that moment by its own
+// clock, later by the error of clocks. The end is on record at the owner before it is sent, and is set anew
+// only while the neighbour is heard. The neighbour stops so long before it that nothing is left by then, even
+// where it can't reach its machines; an end that it has never heard of can't bind it, so a later one only
+// ever adds. A moment, not a length: a message that was held for minutes must not set a later end than its
+// owner counts on.
 #include <cstdint>
 #include <optional>
 #include <string>
 #include <variant>
 #include <vector>
 
+#include "base/clock.hpp"
 #include "state/records.hpp"
 
 namespace barrowrun::cells {
@@ -31,6 +40,7 @@
 struct Offer {
     Turn turn = 0;
     IndexSet tasks;
+    std::optional<DayTime> until;
 };
 // POST /submissions/{id}/cancel, of one turn.
 struct Recall {
@@ -54,6 +64,7 @@
     Turn turn = 0;  // the last that was used
     bool open = false;
     IndexSet tasks;  // of an open part
+    std::optional<DayTime> until;
 };
 
 class Lender {
@@ -69,7 +80,13 @@
     Next next() const;
 
     // Tasks that aren't running here and shall run there. Only while nothing is lent.
-    bool lend(IndexSet tasks);
+    bool lend(IndexSet tasks, std::optional<DayTime> until = {});
+    // A later end, for a part that has one; only after the neighbour was heard to hold it.
+    void renew(DayTime until);
+    // The time of day is `now`, and clocks may be apart by `apart`. True: the end is over, and the part
+    // becomes ours again with what was last heard to be done. What the neighbour did without its being heard
+    // is done again.
+    bool run_out(DayTime now, std::chrono::milliseconds apart);
     // The part is wanted back, or is to be acknowledged as done.
     void want_back() { recalling_ = true; }
     // The write that `next` asked for is on record.
@@ -88,6 +105,7 @@
     bool held() const { return held_; }
 
   private:
+    void close();
     LentRecord record_;
     std::optional<Write> pending_;
     IndexSet done_;
@@ -101,14 +119,21 @@
     Turn turn = 0;
     bool holding = false;
     IndexSet tasks, done;
+    std::optional<DayTime> until;
 };
 
 class Borrower {
   public:
-    explicit Borrower(HeldRecord record = {}) : record_(std::move(record)) {}
+    explicit Borrower(HeldRecord record = {}) : record_(std::move(record)), until_(record_.until) {}
 
     // An offer has come. `room`: whether it may be taken. The answer, or nothing: it waits for `next_write`.
+    // One that has an end must not be taken (`room`) when the moment to stop is past already.
     std::optional<Answer> offered(const Offer& offer, bool room);
+    // `stop_by`: what has an end before it must stop now. From then on no later end is heard of. True: it has
+    // to stop, and hadn't.
+    bool run_out(DayTime stop_by);
+    // Until when something of the part may be on a machine here, as far as is known.
+    std::optional<DayTime> until() const { return until_; }
     // A recall has come. Nothing: it waits for a write, or for what runs to be gone.
     std::optional<Answer> recalled(const Recall& recall);
     // Tasks have ended well; on record with the next write, and told only then.
@@ -131,6 +156,7 @@
     HeldRecord record_;
     std::optional<HeldRecord> pending_;  // another turn, or the end of this one
     IndexSet done_;                      // not on record yet
+    std::optional<DayTime> until_;       // as last heard, of the part that is held; on record later
     bool stopping_ = false, gone_ = true;
     friend struct HandoverPeek;
 };
--- a/src/cells/records.cpp
+++ b/src/cells/records.cpp
@@ -2,6 +2,23 @@
 
 namespace barrowrun::cells {
 namespace {
+// A moment of the day, as records and requests carry it; one that is no moment is malformed.
+struct End {
+    bool bad = false;
+    std::optional<DayTime> at;
+};
+End end_of(const Json& value) {
+    const Json* v = wire::find(value, "until");
+    if (!v) return {};
+    constexpr std::uint64_t most = 1ULL << 52;
+    auto ms = wire::count(value, "until");
+    if (!ms || *ms > most) return {true, {}};
+    return {false, DayTime(std::chrono::milliseconds(static_cast<std::int64_t>(*ms)))};
+}
+void put_end(Json& out, const std::optional<DayTime>& until) {
+    if (until) out["until"] = static_cast<std::uint64_t>(until->time_since_epoch().count());
+}
+
 std::optional<IndexSet> index_set(const Json& value, const char* name) {
     const Json* v = wire::find(value, name);
     return v ? IndexSet::parse(*v, wire::max_tasks) : std::nullopt;
@@ -20,7 +37,9 @@
 
 Json to_json(const Lent& l) {
     Json out{{"to", l.to}, {"turn", l.record.turn}, {"open", l.record.open}};
-    if (l.record.open) out["tasks"] = l.record.tasks.json(wire::max_tasks);
+    if (!l.record.open) return out;
+    out["tasks"] = l.record.tasks.json(wire::max_tasks);
+    put_end(out, l.record.until);
     return out;
 }
 
@@ -35,18 +54,22 @@
     out.record.open = *open;
     if (!*open) return out;
     auto tasks = index_set(value, "tasks");
-    if (!tasks || tasks->empty()) return std::nullopt;
+    auto end = end_of(value);
+    if (!tasks || tasks->empty() || end.bad) return std::nullopt;
     out.record.tasks = std::move(*tasks);
+    out.record.until = end.at;
     return out;
 }
 
 Json to_json(const Held& h) {
-    return {{"owner", h.owner},
-            {"turn", h.record.turn},
-            {"tasks", h.record.tasks.json(wire::max_tasks)},
-            {"done", h.record.done.json(wire::max_tasks)},
-            {"job", wire::submission_json(h.spec)},
-            {"accepted", h.accepted_ms}};
+    Json out{{"owner", h.owner},
+             {"turn", h.record.turn},
+             {"tasks", h.record.tasks.json(wire::max_tasks)},
+             {"done", h.record.done.json(wire::max_tasks)},
+             {"job", wire::submission_json(h.spec)},
+             {"accepted", h.accepted_ms}};
+    put_end(out, h.record.until);
+    return out;
 }
 
 std::optional<Held> parse_held(const Json& value) {
@@ -55,7 +78,8 @@
     auto tasks = index_set(value, "tasks"), done = index_set(value, "done");
     const Json* job = wire::find(value, "job");
     auto accepted = wire::count(value, "accepted");
-    if (!owner || !turn || !tasks || !done || !job || !accepted) return std::nullopt;
+    auto end = end_of(value);
+    if (!owner || !turn || !tasks || !done || !job || !accepted || end.bad) return std::nullopt;
     auto spec = wire::parse_submission(*job);
     if (!std::holds_alternative<wire::JobSpec>(spec)) return std::nullopt;
     Held out;
@@ -64,6 +88,7 @@
     out.record.holding = true;
     out.record.tasks = std::move(*tasks);
     out.record.done = std::move(*done);
+    out.record.until = end.at;
     out.spec = std::get<wire::JobSpec>(std::move(spec));
     out.accepted_ms = static_cast<std::int64_t>(*accepted);
     return out;
@@ -89,6 +114,7 @@
     out["job"] = wire::submission_json(*r.spec);
     out["tasks"] = r.tasks.json(wire::max_tasks);
     out["accepted"] = r.accepted_ms;
+    put_end(out, r.until);
     return out;
 }
 
@@ -105,8 +131,10 @@
     auto spec = wire::parse_submission(*job);
     auto tasks = index_set(value, "tasks");
     auto accepted = wire::count(value, "accepted");
-    if (!std::holds_alternative<wire::JobSpec>(spec) || !tasks || tasks->empty() || !accepted)
+    auto end = end_of(value);
+    if (!std::holds_alternative<wire::JobSpec>(spec) || !tasks || tasks->empty() || !accepted || end.bad)
         return std::nullopt;
+    out.until = end.at;
     out.spec = std::get<wire::JobSpec>(std::move(spec));
     if (out.spec->id != *id || tasks->next(out.spec->tasks)) return std::nullopt;
     out.tasks = std::move(*tasks);
--- a/src/cells/records.hpp
+++ b/src/cells/records.hpp
@@ -49,6 +49,7 @@
     std::optional<wire::JobSpec> spec;
     IndexSet tasks;
     std::int64_t accepted_ms = 0;
+    std::optional<DayTime> until;
 };
 Json to_json(const Request& r);
 std::optional<Request> parse_request(const Json& value);
--- a/src/cells/settings.hpp
+++ b/src/cells/settings.hpp
@@ -25,6 +25,9 @@
     std::map<std::string, TeamRule>
         teams;  // one that isn't named is at home wherever it submits, and goes nowhere
     Clock::duration spill_after = std::chrono::seconds(10);  // that a task has waited here
+    // Classes whose parts come back when their neighbour isn't heard any more, and after how long; parts of
+    // others stay there until it is. Of the owner's file.
+    std::map<std::string, std::chrono::milliseconds> return_after;
 
     // Whether a part of the team's jobs may be run here for the other cell.
     bool may_come(const std::string& team, const std::string& from) const {
--- a/src/config/cells.cpp
+++ b/src/config/cells.cpp
@@ -35,6 +35,10 @@
         out.teams[team] = std::move(rule);
     }
     if (j.contains("spill_after_s")) out.spill_after = secs(j["spill_after_s"].get<double>());
+    if (j.contains("return_after_s"))
+        for (auto& [job_class, s] : j["return_after_s"].items())
+            out.return_after[job_class] =
+                std::chrono::duration_cast<std::chrono::milliseconds>(secs(s.get<double>()));
     return out;
 }
 
--- a/src/lab/main.cpp
+++ b/src/lab/main.cpp
@@ -222,6 +222,9 @@
         sub->add_option("--machines-elsewhere", machines_elsewhere,
                         "machines of each other cell, if not as many")
             ->check(CLI::Range(1, 64));
+        sub->add_option("--return-after-s", site.return_after_s,
+                        "parts of the class `batch` come back from a cell that isn't heard for so long")
+            ->check(CLI::Range(5.0, 3600.0));
         sub->add_flag("--relays", site.relays,
                       "lead all ways through relays, so that they can be cut and slowed");
     }
--- a/src/lab/site.cpp
+++ b/src/lab/site.cpp
@@ -145,6 +145,8 @@
                               {"neighbours", neighbours_},
                               {"teams", {{settings_.team, {{"home", home}, {"run_in", others}}}}},
                               {"spill_after_s", settings_.spill_after_s}};
+        if (settings_.return_after_s > 0)
+            operators["cells"]["return_after_s"] = {{"batch", settings_.return_after_s}};
     }
     if (!settings_.operators.empty()) {
         auto text = depot::read_all(settings_.operators);
--- a/src/lab/site.hpp
+++ b/src/lab/site.hpp
@@ -24,6 +24,7 @@
     // One of several cells: its name, and where all of them keep what users and workers share.
     std::string cell, depot;
     double spill_after_s = 2;
+    double return_after_s = 0;       // of the class `batch`; 0: its parts stay where they are
     std::string operators;           // JSON: more of the operator's settings
     std::vector<std::string> teams;  // besides `team`, as NAME[:CPUS[:CPUS_MAX]]
     Clock::duration controller_back = std::chrono::seconds(1), state_back = std::chrono::milliseconds(500);
--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -103,6 +103,9 @@
     s.list_lag_s = not_negative(c, "deployment.cloud.", "list_lag_s");
     const Json& q = object(d, "deployment.", "quota");
     s.max_connections = positive(q, "deployment.quota.", "max_sockets");
+    if (wire::find(d, "clock_error_ms"))
+        s.clock_error = std::chrono::milliseconds(
+            static_cast<std::int64_t>(std::ceil(not_negative(d, "deployment.", "clock_error_ms"))));
     return s;
 }
 
--- a/tests/spill_test.cpp
+++ b/tests/spill_test.cpp
@@ -157,6 +157,39 @@
         std::string::npos);
     EXPECT_NE(fault(R"({"self":"east","neighbours":{},"teams":{},"spil_after_s":3})").find("spil_after_s"),
               std::string::npos);
+    EXPECT_NE(
+        fault(R"({"self":"east","neighbours":{},"teams":{},"return_after_s":{"batch":0}})").find("batch"),
+        std::string::npos);
+    auto given = config::read_cells(
+        wire::Json::parse(R"({"self":"east","neighbours":{},"teams":{},"return_after_s":{"batch":90.5}})"),
+        {});
+    EXPECT_EQ(given.return_after.at("batch"), 90'500ms);
+}
+
+// The end of a part outlives processes and ways between cells, and one that is no moment is no part.
+TEST(Parts, TheirEndsAreOnRecordAndSent) {
+    const auto job_of_two = Fleet().spec("wk-1", 2);
+    const DayTime end{1'790'000'000'123ms};
+    IndexSet tasks;
+    tasks.insert(1);
+    Lent lent{"west", {3, true, tasks, end}};
+    ASSERT_TRUE(parse_lent(to_json(lent)));
+    EXPECT_EQ(parse_lent(to_json(lent))->record.until, end);
+    Request request{"east", "wk-1", 3, job_of_two, tasks, 5, end};
+    ASSERT_TRUE(parse_request(to_json(request)));
+    EXPECT_EQ(parse_request(to_json(request))->until, end);
+    Held held;
+    held.owner = "east", held.spec = job_of_two, held.accepted_ms = 5;
+    held.record.turn = 3, held.record.holding = true;
+    held.record.tasks = tasks, held.record.until = end;
+    ASSERT_TRUE(parse_held(to_json(held)));
+    EXPECT_EQ(parse_held(to_json(held))->record.until, end);
+    auto bad = to_json(request);
+    bad["until"] = -1;
+    EXPECT_FALSE(parse_request(bad));
+    auto without = request;
+    without.until.reset();
+    EXPECT_FALSE(parse_request(to_json(without))->until);
 }
 
 // A part at the neighbour: only its tasks are started, what is done stays with the worker until it is on
