Planted mistakes of parts with an end are searched for without the sanitizers

Cause: the search took 72 s under them, most of it in the planted ones, which ask about the logic alone. All of it runs in the plain build, in 16 s.

--- a/tests/handover_test.cpp
+++ b/tests/handover_test.cpp
@@ -367,6 +367,7 @@
         std::printf("%zu states\n", states);
         EXPECT_GT(states, 1000u);
     }
+#ifndef __SANITIZE_ADDRESS__
     for (auto m : {Mistake::sent_before_record, Mistake::taken_back_early, Mistake::renewed_before_record,
                    Mistake::length_for_a_moment, Mistake::no_stop}) {
         auto planted = with_ends(1, 4, 1);
@@ -374,6 +375,7 @@
         planted.run();
         EXPECT_NE(planted.wrong, "") << "mistake " << static_cast<int>(m);
     }
+#endif
 }
 
 // What a neighbour says is done is looked at task by task: one that it was never given, or that the job
