A job is looked up anew after an answer was waited for; parts' records parsed once, one piece to stop a part

Read over: Cells::ask used the job it had found before it waited for the neighbour's answer, when an end is put off; it may be gone by then. Held parts were parsed twice at a takeover, a part was stopped in two places, and the moment to stop was worked out backwards from an end.

--- a/src/api/cells.cpp
+++ b/src/api/cells.cpp
@@ -47,16 +47,16 @@
         // What can't be read may have an end.
         const auto end = record ? record->record.until : DayTime{};
         if (end) first_end_ = std::min(first_end_.value_or(*end), *end);
+        held_records_.emplace_back(item.key, std::move(record));
     }
     lent_records_ = std::move(lent);
-    held_records_ = std::move(held);
     co_return true;
 }
 
 bool Cells::may_renew(const wire::Report& report, const fleet::Machine* m) const {
     const auto now = day_now();
     // Nothing is known yet of what machines hold: none is answered once something may have to be gone.
-    if (!m) return lent_records_ && (!first_end_ || now < stop_by(*first_end_));
+    if (!m) return lent_records_.ok && (!first_end_ || now < stop_by(*first_end_));
     for (auto& [id, h] : held_) {
         const auto end = h.borrower.until();
         if (!end || !h.borrower.record().holding || now < stop_by(*end) + host_.renewed_within) continue;
@@ -71,9 +71,7 @@
 }
 
 Task<bool> Cells::load(TimePoint now, std::int64_t wall_ms) {
-    const auto& lent = *lent_records_;
-    const auto& held = *held_records_;
-    for (auto& item : lent.items) {
+    for (auto& item : lent_records_.items) {
         const auto job = item.key.substr(5);
         auto record = cells::parse_lent(item.value);
         if (!record) {
@@ -85,11 +83,10 @@
             host_.cluster.lend(*j, record->record.tasks);
         lent_[job] = {record->to, cells::Lender(record->record)};
     }
-    for (auto& item : held.items) {
-        const auto job = item.key.substr(5);
-        auto record = cells::parse_held(item.value);
+    for (auto& [key, record] : held_records_) {
+        const auto job = key.substr(5);
         if (!record) {
-            spdlog::error("the record {} cannot be read: its part is left alone", item.key);
+            spdlog::error("the record {} cannot be read: its part is left alone", key);
             continue;
         }
         // Its turn may be over already: that is on record before this one is dropped.
@@ -98,7 +95,7 @@
         if (over.outcome == Outcome::ok) {
             auto turn = cells::parse_over(over.value);
             if (!turn || turn->turn >= record->record.turn) {
-                host_.cluster.enqueue({item.key, std::nullopt, {}});
+                host_.cluster.enqueue({key, std::nullopt, {}});
                 continue;
             }
         }
@@ -108,7 +105,8 @@
                                    wall_ms);
         held_[job] = std::move(h);
     }
-    lent_records_ = held_records_ = state::Listing{};  // taken over
+    lent_records_.items.clear();
+    held_records_.clear();
     co_return true;
 }
 
@@ -273,12 +271,13 @@
         }
     }
     it->second.lender.answered(*answer);
-    // It is heard: the end is put off, some time before it would make anything stop there.
-    if (const auto& until = it->second.lender.record().until;
+    // It is heard: the end is put off, some time before it would make anything stop there. The job may have
+    // gone while the answer was waited for.
+    job = host_.cluster.find_job(id);
+    if (const auto until = it->second.lender.record().until;
         until && answer->word == Answer::Word::holds && job) {
-        const auto length = settings_.return_after.find(job->spec.job_class);
-        if (length != settings_.return_after.end() && *until - day_now() < length->second * 9 / 10)
-            it->second.lender.renew(day_now() + length->second);
+        const auto later = end_for(job->spec.job_class);
+        if (later && *later - *until > (*later - day_now()) / 10) it->second.lender.renew(*later);
     }
     step(id, now);
 }
@@ -340,9 +339,7 @@
             answer = h.borrower.offered({request.turn, request.tasks, request.until}, room);
         } else {
             answer = h.borrower.recalled({request.turn});
-            if (h.borrower.stopping())
-                if (auto* job = host_.cluster.find_job(id); job && job->borrowed && !job->cancelled)
-                    host_.cluster.cancel(*job, Clock::now());
+            if (h.borrower.stopping()) stop_borrowed(id);
         }
         first = false;
         look_at_borrowed();
@@ -356,12 +353,17 @@
     }
 }
 
+void Cells::stop_borrowed(const std::string& id) {
+    if (auto* job = host_.cluster.find_job(id); job && job->borrowed && !job->cancelled)
+        host_.cluster.cancel(*job, Clock::now());
+}
+
 void Cells::stop_in_time() {
+    const auto now = day_now();
     for (auto& [id, h] : held_)
-        if (auto end = h.borrower.until(); end && h.borrower.run_out(day_now() + (*end - stop_by(*end)))) {
+        if (h.borrower.run_out(now + stop_ahead())) {
             spdlog::warn("cell {} isn't heard: the part of {} stops here", h.owner, id);
-            if (auto* job = host_.cluster.find_job(id); job && job->borrowed && !job->cancelled)
-                host_.cluster.cancel(*job, Clock::now());
+            stop_borrowed(id);
         }
 }
 
--- a/src/api/cells.hpp
+++ b/src/api/cells.hpp
@@ -71,8 +71,10 @@
     const cells::Neighbour* neighbour(const std::string& name) const;
     const std::string& node_of(const std::string& cell);
     std::optional<DayTime> end_for(const std::string& job_class) const;
-    // When what has the end must be told to stop here.
-    DayTime stop_by(DayTime until) const { return until - host_.gone_within - 2 * host_.clock_error - slack; }
+    // How long before its end a part must be told to stop here.
+    std::chrono::milliseconds stop_ahead() const { return host_.gone_within + 2 * host_.clock_error + slack; }
+    DayTime stop_by(DayTime until) const { return until - stop_ahead(); }
+    void stop_borrowed(const std::string& job);
 
     static constexpr std::chrono::seconds slack{2};  // until the next look, and a takeover's records are read
 
@@ -83,7 +85,8 @@
     std::map<std::string, Holding> held_;
     // As read, until they are taken over; and the first end among those held, of one that can't be read: long
     // ago.
-    std::optional<state::Listing> lent_records_, held_records_;
+    state::Listing lent_records_;
+    std::vector<std::pair<std::string, std::optional<cells::Held>>> held_records_;
     std::optional<DayTime> first_end_;
     Json digest_;
     TimePoint digest_made_{};
--- a/src/lab/child.cpp
+++ b/src/lab/child.cpp
@@ -49,9 +49,9 @@
 }
 
 std::string free_address() {
-    // Each process chooses on a loopback address of its own, by its number. On one that is shared, what looked for
-    // ports for another site's workers took, or held while it tried, what a controller had been promised and did not
-    // listen at yet, and the site did not come up.
+    // Each process chooses on a loopback address of its own, by its number. On one that is shared, what
+    // looked for ports for another site's workers took, or held while it tried, what a controller had been
+    // promised and did not listen at yet, and the site did not come up.
     const auto pid = static_cast<unsigned>(::getpid());
     const net::asio::ip::address_v4 own(0x7f400000u | (pid & 0x3fffffu));  // 127.64.0.0 to 127.127.255.255
     // Below the ports that outgoing connections are given.
