Leases are renewed only while all cancellations are known; nodes on virtual time bring meetings about

Cause: a new leader renewed leases while it read the records, for as long as an outage lasted that began meanwhile, and so kept tasks alive that its predecessor had confirmed as cancelled. Answers to machines that are being returned, and to reports that a push's answer had overtaken, went without kills. A launch without an answer could start a cancelled task as long as no new token could be had. And a leader told from memory what others had read to be over: a record that was carried out and only its answer lost.

--- a/src/api/leader.cpp
+++ b/src/api/leader.cpp
@@ -18,10 +18,9 @@
       silence_(
           {secs(services.settings.rules.report_s), secs(services.settings.rules.lease_s), asked_at_once}),
       contact_(secs(services.settings.rules.report_s), acquired),
+      keep_(leases::keep_for(services.settings.rules.lease_s, services.settings.rules.cancel_s)),
       // Reckoned with even where it is switched off: a predecessor may have had it on.
-      cover_(services.settings.member_names(),
-             leases::keep_for(services.settings.rules.lease_s, services.settings.rules.cancel_s), acquired,
-             token) {
+      cover_(services.settings.member_names(), keep_, acquired, token) {
     cluster_.lead(token, acquired);
     cluster_.set_types(services_.catalog);
     if (!services_.settings.cells) return;
@@ -110,6 +109,7 @@
     if (!loaded_) return std::nullopt;
     if (auto it = cluster_.jobs().find(id); it != cluster_.jobs().end()) {
         auto& job = *it->second;
+        if (job.unsettled()) return std::nullopt;
         return wire::JobStatus{id, job.standing(), job.done.size(), job.running(), job.error_count};
     }
     if (auto past = cluster_.past(id))
@@ -217,7 +217,7 @@
             send_touched();
             continue;
         }
-        cluster_.write_failed(std::move(writes));
+        cluster_.write_failed(std::move(writes), result.outcome == Outcome::unknown);
         if (result.outcome == Outcome::conflict) {
             services_.election.doubt();
             co_await net::sleep_for(50ms);
--- a/src/api/leader.hpp
+++ b/src/api/leader.hpp
@@ -31,6 +31,7 @@
     net::HttpClient& peers;
     election::Election& election;
     std::vector<wire::MachineType>& catalog;  // machine types as last known
+    const leases::Keeper& keeper;             // what this node knows of cancelled jobs without the records
 };
 
 // Questions to machines beside their reports, at once: a share of what a process with a fraction of a core
@@ -49,7 +50,7 @@
     bool may_act() const { return !stopped_ && services_.election.leading(Clock::now()); }
     // A worker's report, at this node or by way of another.
     Task<Response> hello(wire::Report report, bool direct);
-    // The state of a job if this leader knows it.
+    // The state of a job if this leader knows it, and no record that changes it is under way.
     std::optional<wire::JobStatus> status(const std::string& id) const;
     Task<Response> cancel(std::string id);
     // A job was accepted by some node and is on record.
@@ -113,6 +114,7 @@
     TimePoint last_hello_{}, served_looked_{}, ways_asked_{};
     fleet::Silence silence_;
     fleet::Contact contact_;
+    const Clock::duration keep_;  // leases::keep_for
     leases::Cover cover_;
     std::unique_ptr<Cells> cells_;
     TimePoint behind_until_{};  // as it was last said
--- a/src/api/node.cpp
+++ b/src/api/node.cpp
@@ -52,7 +52,7 @@
         if (auto grant = leases::parse_grant(value)) keeper_.granted(sent, Clock::now(), std::move(*grant));
     };
     election_.on_lead = [this](std::uint64_t token, TimePoint acquired) {
-        Services services{io_, settings_, state_, cloud_, workers_, peers_, election_, catalog_};
+        Services services{io_, settings_, state_, cloud_, workers_, peers_, election_, catalog_, keeper_};
         leader_ = std::make_shared<Leader>(services, token, acquired);
         leader_->start();
     };
--- a/src/api/workers.cpp
+++ b/src/api/workers.cpp
@@ -16,12 +16,14 @@
     direct ? contact_.direct(now) : contact_.passed_on(now);
     auto token = services_.election.token();
     if (!loaded_) {
-        if (cells_ && !cells_->may_renew(report, nullptr)) co_return not_entitled;
-        // Its lease is renewed while the records are still being read.
-        early_answer_[report.machine] = now;
         auto [it, fresh] = early_.try_emplace(report.machine, report);
         if (!fresh && std::pair(it->second.session, it->second.seq) < std::pair(report.session, report.seq))
             it->second = report;
+        // What the predecessor has confirmed as cancelled stands in the records, and an outage that begins
+        // before they are read may last for longer than `cancel_s`.
+        if (!services_.keeper.may_renew(report.machine, now)) co_return not_entitled;
+        if (cells_ && !cells_->may_renew(report, nullptr)) co_return not_entitled;
+        early_answer_[report.machine] = now;
         co_return Response{200, wire::report_answer(token, {})};
     }
     cluster_.lead(token, acquired_);
@@ -30,10 +32,10 @@
     if (!m) co_return not_entitled;
     if (!newer && report.session != m->session) co_return not_entitled;
     if (cells_ && !cells_->may_renew(report, m)) co_return not_entitled;
+    if (!m->may_renew(now, keep_)) co_return not_entitled;
     // Not newer, but of this session: an answer to a push has overtaken it. The worker still waits for this
     // one.
-    std::vector<wire::Command> commands;
-    if (newer && !m->returning) commands = cluster_.reply_commands(*m, now);
+    auto commands = cluster_.reply_commands(*m, now, newer && !m->returning);
     if (commands.size() > 300) commands.resize(300);
     m->last_answer = now;
     place_wake_.wake();
--- a/src/base/clock.hpp
+++ b/src/base/clock.hpp
@@ -2,9 +2,18 @@
 // Time, as everything here has it: the steady clock, and what its drift makes of a bound.
 #include <chrono>
 #include <cstdint>
+#ifdef BARROWRUN_VIRTUAL_TIME  // tests/sim alone: whole nodes on a clock that the test moves
+#include <sim/clock.hpp>
+#endif
 
 namespace barrowrun {
+#ifdef BARROWRUN_VIRTUAL_TIME
+using Clock = sim::Clock;
+using DayClock = sim::DayClock;
+#else
 using Clock = std::chrono::steady_clock;
+using DayClock = std::chrono::system_clock;
+#endif
 using TimePoint = Clock::time_point;
 using Seconds = std::chrono::duration<double>;
 
@@ -24,7 +33,7 @@
 // The time of day, which records carry: it outlives a process, unlike the steady clock.
 using DayTime = std::chrono::sys_time<std::chrono::milliseconds>;
 inline DayTime day_now() {
-    return std::chrono::time_point_cast<std::chrono::milliseconds>(std::chrono::system_clock::now());
+    return std::chrono::time_point_cast<std::chrono::milliseconds>(DayClock::now());
 }
 inline std::int64_t wall_ms() {
     return day_now().time_since_epoch().count();
--- a/src/election/election.hpp
+++ b/src/election/election.hpp
@@ -5,6 +5,7 @@
 #include <string>
 #include <vector>
 
+#include "base/seed.hpp"
 #include "election/authority.hpp"
 #include "net/http_client.hpp"
 #include "net/reach.hpp"
@@ -92,7 +93,7 @@
     bool leader_ = false, lost_hint_ = false;
     std::uint64_t token_ = 0, hold_ = 0, stamp_ = 0;
     std::string leader_name_, leader_process_;
-    std::mt19937 random_{std::random_device{}()};
+    std::mt19937 random_{fresh_seed()};
 };
 
 }  // namespace barrowrun::election
--- a/src/fleet/cloud_client.cpp
+++ b/src/fleet/cloud_client.cpp
@@ -15,19 +15,15 @@
     auto reply =
         co_await client_.call(address_, method, std::move(target), std::move(body), deadline, 4 << 20);
     // "no capacity" is an answer, though it comes as a 503.
-    bool answered = reply.status != 0 && (reply.status != 503 || wire::text(reply.body, "error") != "trouble");
+    bool answered =
+        reply.status != 0 && (reply.status != 503 || wire::text(reply.body, "error") != "trouble");
     if (auto line = reach_.note(answered, Clock::now())) spdlog::warn("{}", *line);
     co_return reply;
 }
 
 Task<> CloudClient::look() {
-    boost::system::error_code ec = net::asio::error::host_not_found;
-    if (auto at = net::parse_endpoint(address_)) {
-        net::beast::tcp_stream stream(io_);
-        stream.expires_after(800ms);
-        co_await stream.async_connect(*at, net::asio::redirect_error(net::asio::use_awaitable, ec));
-    }
-    if (auto line = reach_.note(!ec, Clock::now())) spdlog::warn("{}", *line);
+    const bool reached = co_await client_.reaches(address_, 800ms);
+    if (auto line = reach_.note(reached, Clock::now())) spdlog::warn("{}", *line);
 }
 
 Task<std::optional<std::vector<wire::MachineType>>> CloudClient::types() {
--- a/src/fleet/cloud_client.hpp
+++ b/src/fleet/cloud_client.hpp
@@ -18,7 +18,7 @@
 class CloudClient {
   public:
     CloudClient(net::asio::io_context& io, std::string address, double rps)
-        : address_(std::move(address)), io_(io), client_(io, 6), budget_(rps * 0.85, rps) {}
+        : address_(std::move(address)), client_(io, 6), budget_(rps * 0.85, rps) {}
     Task<std::optional<std::vector<wire::MachineType>>> types();
     Task<std::optional<wire::MachineList>> list();
     // Whether it takes connections, for the log alone: no request is made. Only leaders ask it anything.
@@ -33,7 +33,6 @@
     Task<net::Reply> call(net::http::verb method, std::string target, std::optional<wire::Json> body,
                           Clock::duration deadline, bool charged = false);
     std::string address_;
-    net::asio::io_context& io_;
     net::HttpClient client_;
     net::RateBudget budget_;
     net::Reach reach_{"the cloud"};
--- a/src/fleet/machine.cpp
+++ b/src/fleet/machine.cpp
@@ -51,6 +51,13 @@
     fetching_.clear();
 }
 
+bool Machine::may_renew(TimePoint now, Clock::duration keep) const {
+    return std::none_of(entries.begin(), entries.end(), [&](auto& kv) {
+        auto& e = kv.second;
+        return e.stop && (e.late || e.in_flight) && token_seen <= e.sent_token && now >= e.stop_at + keep;
+    });
+}
+
 bool Machine::apply(const wire::Report& report, bool hello, std::uint64_t own_token, TimePoint now,
                     std::vector<Change>& changes) {
     if (up && std::pair(report.session, report.seq) <= std::pair(session, seq)) return false;
--- a/src/fleet/machine.hpp
+++ b/src/fleet/machine.hpp
@@ -117,6 +117,10 @@
     TimePoint lease_end(double lease_s, TimePoint acquired) const {
         return std::max({last_answer, acquired, known, session_known}) + longer(secs(lease_s));
     }
+    // Whether its lease may be renewed. Not for ever while the launch of a task that has to be gone may still
+    // be carried out, late, under a token that the worker takes: only the end of its session is certain to
+    // void that, and has to come in time. `keep`: how long after the stop was decided an answer still does.
+    bool may_renew(TimePoint now, Clock::duration keep) const;
     // What to tell the worker now. `launches` says whether launches may go with it.
     std::vector<wire::Command> commands(
         TimePoint now, bool launches,
--- a/src/leases/leases.cpp
+++ b/src/leases/leases.cpp
@@ -97,11 +97,14 @@
     return out;
 }
 
+bool Keeper::may_renew(const std::string& machine, TimePoint now) const {
+    return contact_ && now < *contact_ + keep_ && !grant_.nothing && !grant_.but.contains(machine);
+}
+
 bool Keeper::may_keep(const wire::Report& report, TimePoint now, bool cut_off) {
-    if (!cut_off || !contact_ || report.zone != zone_) return false;
+    if (!cut_off || report.zone != zone_ || !may_renew(report.machine, now)) return false;
     // A worker that knows a higher token would drop the answer and stay here while its lease runs out.
-    if (report.token > grant_.token || now < quiet_until_ || now >= *contact_ + keep_) return false;
-    if (grant_.nothing || grant_.but.contains(report.machine)) return false;
+    if (report.token > grant_.token || now < quiet_until_) return false;
     own_ = now;
     return true;
 }
--- a/src/leases/leases.hpp
+++ b/src/leases/leases.hpp
@@ -58,6 +58,11 @@
     // This node leads, and has the right to at this moment: it counts as its own contact.
     void leads(TimePoint now, Grant grant);
     Sign sign(TimePoint now);
+    // Whether the lease of the machine's worker may be renewed from what this node knows of cancelled jobs:
+    // by its last contact nothing there was to be gone, and what was cancelled since is gone in time if it
+    // answers now. Whoever hasn't read the records has no better right, a new leader included
+    // (docs/incidents/unread-leader.md).
+    bool may_renew(const std::string& machine, TimePoint now) const;
     // Whether the report may be answered with the token alone. `cut_off`: neither the leader nor the state
     // service is heard.
     bool may_keep(const wire::Report& report, TimePoint now, bool cut_off);
--- a/src/net/duties.hpp
+++ b/src/net/duties.hpp
@@ -10,6 +10,9 @@
 #include <string>
 
 #include "base/clock.hpp"
+#ifdef BARROWRUN_VIRTUAL_TIME
+#include <sim/timer.hpp>
+#endif
 
 namespace barrowrun::net {
 
@@ -17,9 +20,14 @@
 using asio::awaitable;
 template <class T = void>
 using Task = awaitable<T>;
+#ifdef BARROWRUN_VIRTUAL_TIME
+using Timer = sim::Timer;
+#else
+using Timer = asio::steady_timer;
+#endif
 
 inline Task<> sleep_for(Clock::duration d) {
-    asio::steady_timer timer(co_await asio::this_coro::executor, std::max(d, Clock::duration::zero()));
+    Timer timer(co_await asio::this_coro::executor, std::max(d, Clock::duration::zero()));
     co_await timer.async_wait(asio::use_awaitable);
 }
 
@@ -60,7 +68,7 @@
     }
 
   private:
-    asio::steady_timer timer_;
+    Timer timer_;
     bool set_ = false;
 };
 
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -4,18 +4,6 @@
 
 namespace barrowrun::net {
 
-std::optional<asio::ip::tcp::endpoint> parse_endpoint(const std::string& address, bool any_port) {
-    auto colon = address.rfind(':');
-    if (colon == std::string::npos) return std::nullopt;
-    boost::system::error_code ec;
-    auto ip = asio::ip::make_address(address.substr(0, colon), ec);
-    unsigned port = 0;
-    auto [p, err] = std::from_chars(address.data() + colon + 1, address.data() + address.size(), port);
-    if (ec || err != std::errc{} || p != address.data() + address.size() || (port == 0 && !any_port) || port > 65535)
-        return std::nullopt;
-    return asio::ip::tcp::endpoint(ip, static_cast<unsigned short>(port));
-}
-
 void HttpClient::close_oldest_idle() {
     auto oldest = idle_.end();
     for (auto it = idle_.begin(); it != idle_.end();) {
@@ -102,4 +90,14 @@
     co_return reply;
 }
 
+Task<bool> HttpClient::reaches(std::string address, Clock::duration deadline) {
+    boost::system::error_code ec = asio::error::host_not_found;
+    if (auto at = parse_endpoint(address)) {
+        beast::tcp_stream stream(io_);
+        stream.expires_after(deadline);
+        co_await stream.async_connect(*at, asio::redirect_error(asio::use_awaitable, ec));
+    }
+    co_return !ec;
+}
+
 }  // namespace barrowrun::net
--- a/src/net/http_client.hpp
+++ b/src/net/http_client.hpp
@@ -31,6 +31,8 @@
         : io_(io), idle_per_peer_(idle_per_peer), most_open_(std::max<std::size_t>(1, most_open)) {}
     Task<Reply> call(std::string address, http::verb method, std::string target, std::optional<Json> body,
                      Clock::duration deadline, std::size_t body_limit = 1 << 20);
+    // Whether a connection to the address can be opened.
+    Task<bool> reaches(std::string address, Clock::duration deadline);
     void forget(const std::string& address) { idle_.erase(address); }
     std::size_t open() const { return open_; }
 
--- a/src/placement/attempts.cpp
+++ b/src/placement/attempts.cpp
@@ -321,10 +321,10 @@
     }
 }
 
-std::vector<wire::Command> Cluster::reply_commands(Machine& m, TimePoint now) {
+std::vector<wire::Command> Cluster::reply_commands(Machine& m, TimePoint now, bool all) {
     drop_unsent(m);
     // Launches go by push where the address answers; a response carries them where it does not.
-    auto out = m.commands(now, !m.push_ok, [this](auto& a, auto& e) { return may_reap(a, e); });
+    auto out = m.commands(now, all && !m.push_ok, [&](auto& a, auto& e) { return all && may_reap(a, e); });
     for (auto& c : out)
         if (c.verb == wire::Verb::launch) {
             Entry& e = m.entries.at(c.attempt);
--- a/src/placement/cluster.hpp
+++ b/src/placement/cluster.hpp
@@ -73,6 +73,10 @@
     bool borrowed = false;
     bool failed = false;  // cancelled because a task failed more often than the job allows
     bool dirty = false, progress_written = false;
+    // A record that changes what users are told of it is under way, or one was sent without an answer: others
+    // may read it already. Until that is known, nothing is told from memory.
+    bool record_under_way = false, record_unknown = false;
+    bool unsettled() const { return record_under_way || record_unknown; }
     bool served = false;  // all its tasks had started once
     bool late = false;    // as the last look told: it should have been served by now, and isn't
     // Every machine that may hold an attempt of a task. A task is started only while it has none.
@@ -198,7 +202,9 @@
     // Events. A report that is not newer than what is known changes nothing and gives false.
     bool on_report(const wire::Report& report, bool hello, TimePoint now);
     // Commands for the response to a report or for a push; launches are marked as sent with it.
-    std::vector<wire::Command> reply_commands(Machine& m, TimePoint now);
+    // Not `all`: kills alone. An answer renews the lease of whatever is on the machine, so none goes without
+    // them.
+    std::vector<wire::Command> reply_commands(Machine& m, TimePoint now, bool all = true);
     std::vector<wire::Command> push_commands(Machine& m, TimePoint now);
     void push_answered(Machine& m, const std::vector<wire::Command>& sent, std::uint64_t token, bool executed,
                        bool may_execute, TimePoint now);
@@ -220,7 +226,8 @@
     std::size_t changes() const { return dirty_jobs_.size() + sheets_.changed(); }
     bool has_writes() const { return sheets_.any(true) || !dirty_jobs_.empty() || !queued_.empty(); }
     bool has_urgent_writes() const;
-    void write_failed(std::vector<Write> writes);  // not executed, or fenced: to be written again
+    // To be written again. `may_be_executed`: there was no answer, so others may read it already.
+    void write_failed(std::vector<Write> writes, bool may_be_executed = false);
     void enqueue(Write w) { queued_.push_back(std::move(w)); }
     // What of a machine is to be recorded with the next occasion; its starts are recorded at once.
     void mark_machine_dirty(const std::string& name) { sheets_.change(name); }
--- a/src/placement/writes.cpp
+++ b/src/placement/writes.cpp
@@ -128,6 +128,7 @@
         job->dirty = false;
         bool over = job->cancelled ? (job->cancel_durable && job->places.empty()) : job->finished();
         over &= job->away.empty();  // a part of it is still another cell's
+        job->record_under_way |= (over || job->cancelled) && !job->cancel_durable;
         if (over) {
             state::PastRecord past{job->failed      ? wire::Standing::failed
                                    : job->cancelled ? wire::Standing::cancelled
@@ -156,6 +157,7 @@
                      errors_recorded(*j, p.errors);
                      if (p.cancelled) {
                          j->cancel_durable = true;
+                         j->record_under_way = j->record_unknown = false;
                          if (j->places.empty()) mark_dirty(*j);
                      }
                  }});
@@ -165,10 +167,14 @@
     return out;
 }
 
-void Cluster::write_failed(std::vector<Write> writes) {
+void Cluster::write_failed(std::vector<Write> writes, bool may_be_executed) {
     // Values are absolute: machines and jobs are written anew from what is known by then.
     std::deque<Write> again;
     for (auto& w : writes) {
+        if (auto* job = find_job(w.key.substr(w.key.find('/') + 1)); job && job->record_under_way) {
+            job->record_under_way = false;
+            job->record_unknown |= may_be_executed;
+        }
         if (auto sheet = state::parse_sheet_key(w.key)) {
             sheets_.failed(*sheet);
         } else if (w.key.starts_with("progress/") && w.value) {
--- a/tests/cluster_test.cpp
+++ b/tests/cluster_test.cpp
@@ -119,6 +119,33 @@
     EXPECT_GE(f.machine("n-1").lease_end(20, f.cluster->acquired()), f.now + 20s);
 }
 
+// Others may read a record that was sent from the moment on which it was sent, and without an answer for
+// longer.
+TEST(Finish, NothingIsToldFromMemoryWhileARecordThatChangesItMayBeReadByOthers) {
+    Fleet f;
+    f.up("n-1");
+    auto& job = f.add(f.spec("wk-1"));
+    f.place_all();
+    f.run("n-1");
+    f.write();
+    EXPECT_FALSE(job.unsettled());
+    f.cluster->cancel(job, f.now);
+    EXPECT_FALSE(job.unsettled()) << "nothing was sent yet";
+    auto writes = f.cluster->take_writes(10, 1 << 20, f.now, f.wall);
+    EXPECT_TRUE(job.unsettled()) << "it is under way";
+    f.cluster->write_failed(std::move(writes), false);
+    EXPECT_FALSE(job.unsettled()) << "it was refused";
+    writes = f.cluster->take_writes(10, 1 << 20, f.now, f.wall);
+    f.cluster->write_failed(std::move(writes), true);
+    EXPECT_TRUE(job.unsettled()) << "it may have been carried out";
+    writes = f.cluster->take_writes(10, 1 << 20, f.now, f.wall);
+    f.cluster->write_failed(std::move(writes), false);
+    EXPECT_TRUE(job.unsettled()) << "the one before still may have been";
+    f.write();
+    EXPECT_FALSE(job.unsettled());
+    EXPECT_EQ(job.standing(), wire::Standing::cancelled);
+}
+
 TEST(Finish, ResultsAreOnRecordBeforeTheyAreToldOrReaped) {
     Fleet f;
     f.up("n-1");
--- a/tests/leases_test.cpp
+++ b/tests/leases_test.cpp
@@ -64,6 +64,23 @@
     EXPECT_FALSE(keeper.may_keep(report(), now, true)) << "too many to name";
 }
 
+// A leader that has not read the records yet is no better off than a node that was cut off: see
+// docs/incidents/unread-leader.md.
+TEST_F(Kept, WhatIsNotReadIsRenewedOnlyFromTheLastContact) {
+    EXPECT_FALSE(keeper.may_renew("n-1", now)) << "a fresh process knows of no cancellation";
+    exchange({"n-2"});
+    const auto contact = now;
+    EXPECT_TRUE(keeper.may_renew("n-1", now));
+    EXPECT_FALSE(keeper.may_renew("n-2", now)) << "it may hold a task of a cancelled job";
+    EXPECT_TRUE(keeper.may_renew("n-1", contact + keep - 1ms));
+    EXPECT_FALSE(keeper.may_renew("n-1", contact + keep));
+    keeper.leads(contact + 1s, {8, 0, true, {}});
+    EXPECT_FALSE(keeper.may_renew("n-1", contact + 2s)) << "too many to name";
+    Keeper off{"b", Clock::duration::zero(), now};
+    off.granted(now, now, {7, 1, false, {}});
+    EXPECT_FALSE(off.may_renew("n-1", now)) << "no time between a lease and a cancellation";
+}
+
 TEST_F(Kept, TheLeaderReckonsWithANodeThatIsSilentAndNotWithOneThatIsHeard) {
     const auto began = now;
     EXPECT_EQ(cover.answered("b", now), now) << "a predecessor's word may still be good";
--- a/tests/machine_test.cpp
+++ b/tests/machine_test.cpp
@@ -63,6 +63,37 @@
     EXPECT_TRUE(job.places.empty());
 }
 
+// The launch of a cancelled job's task was pushed without an answer and may be carried out minutes later,
+// while the token can't be renewed: only the end of the session voids it, so the lease must not be renewed
+// for ever.
+TEST_F(MachineTest, ALateLaunchOfWhatMustBeGoneEndsTheRenewals) {
+    f.up("n-1");
+    auto& job = f.add(f.spec("wk-1"));
+    f.place_all();
+    auto sent = f.cluster->push_commands(f.machine("n-1"), f.now);
+    f.cluster->push_answered(f.machine("n-1"), sent, 10, false, true, f.now);
+    EXPECT_TRUE(f.machine("n-1").may_renew(f.now + 100s, 20s)) << "nothing there has to be gone";
+    f.cluster->cancel(job, f.now);
+    EXPECT_TRUE(f.machine("n-1").may_renew(f.now + 20s - 1ms, 20s));
+    EXPECT_FALSE(f.machine("n-1").may_renew(f.now + 20s, 20s));
+    // A worker that has shown a higher token refuses it.
+    f.cluster->on_report(f.report("n-1", {}, 11), true, f.now + 21s);
+    EXPECT_TRUE(f.machine("n-1").may_renew(f.now + 30s, 20s));
+}
+
+// An answer renews the lease of all that is on a machine, whatever else can't be told with it.
+TEST_F(MachineTest, NoAnswerGoesWithoutTheKills) {
+    f.up("n-1");
+    auto& job = f.add(f.spec("wk-1"));
+    f.place_all();
+    f.run("n-1");
+    EXPECT_TRUE(f.cluster->reply_commands(f.machine("n-1"), f.now, false).empty());
+    f.cluster->cancel(job, f.now);
+    auto commands = f.cluster->reply_commands(f.machine("n-1"), f.now, false);
+    ASSERT_EQ(commands.size(), 1u);
+    EXPECT_EQ(commands[0].verb, Verb::kill);
+}
+
 TEST_F(MachineTest, AReportThatCrossesAPushProvesNothing) {
     f.up("n-1");
     auto& job = f.add(f.spec("wk-1"));
--- /dev/null
+++ b/tests/sim/gap_test.cpp
@@ -0,0 +1,104 @@
+// The cancellation gap: what becomes of its tasks after a job was confirmed as cancelled, while leaders
+// change and the state service is out for longer than `cancel_s`.
+#include <gtest/gtest.h>
+
+#include "sim/site.hpp"
+
+using namespace barrowrun;
+using namespace barrowrun::sim;
+
+namespace {
+
+// What the test waits for must come about, or it shows nothing.
+void until(Site& site, Nanos most, const std::function<bool()>& there) {
+    const auto end = site.world.now() + most;
+    while (!there() && site.world.now() < end) site.run(1ms);
+    ASSERT_TRUE(there());
+}
+
+void cut_off(Site& site, const std::string& machine, Nanos length) {
+    for (std::size_t n = 0; n < 3; ++n) site.world.cut(machine, site.node_name(n), length, Fault::Kind::drop);
+}
+
+// A machine that hears nobody for a moment holds a task of a job that the leader has confirmed as cancelled.
+// The leader ends. Its successor is elected, and before it has read the records the state service is out for
+// all.
+void confirmed_then_unread(Site& site, std::string& id, Nanos after_election) {
+    site.poll_all(2s);
+    auto spec = site.job(1, 500);
+    id = spec.id;
+    site.submit(spec);
+    until(site, 30s, [&] { return site.worker_running(id) != nullptr; });
+    site.run(4s);
+    auto* worker = site.worker_running(id);
+    const auto old = site.leader();
+    ASSERT_TRUE(old);
+    cut_off(site, worker->name(), 4200ms);
+    site.cancel(id, old);
+    until(site, 2s, [&] { return site.checker.over(id); });
+    site.kill(*old, 300ms);
+    until(site, 6s, [&] { return site.leader() && site.leader() != old; });
+    site.run(after_election);
+    site.state().outage(50s);
+}
+
+}  // namespace
+
+TEST(Sim, ASiteWithoutTroublesKeepsEveryRuleAndRepeatsItself) {
+    std::string first;
+    for (int pass = 0; pass < 2; ++pass) {
+        Site site({.seed = 5});
+        site.poll_all(2s);
+        for (int i = 0; i < 6; ++i) site.submit(site.job(4, 15));
+        site.run(10s);
+        auto late = site.job(3, 500);
+        site.submit(late);
+        site.run(20s);
+        site.cancel(late.id);
+        site.run(90s);
+        EXPECT_EQ(site.verdict(0s), "");
+        EXPECT_EQ(site.checker.confirmed(), 1u);
+        EXPECT_GE(site.checker.starts(), 27u);
+        if (pass == 0)
+            first = site.history();
+        else
+            EXPECT_EQ(site.history(), first);
+    }
+}
+
+TEST(Gap, ALeaderThatHasNotReadTheRecordsKeepsNoTaskOfACancelledJobAlive) {
+    // At every moment from its election to when it has read all.
+    for (auto after = 0ms; after < 40ms; after += 2ms) {
+        Site site({.seed = 1, .machines = 3});
+        std::string id;
+        confirmed_then_unread(site, id, after);
+        site.run(60s);
+        EXPECT_EQ(site.verdict(site.world.now()), "") << after.count() << " ms after the election";
+    }
+}
+
+// A launch was pushed to a machine and is held up on the way, while the machine reports by way of other
+// nodes. The job is cancelled, and then the state service is out, so that the token can't be renewed.
+TEST(Gap, ALaunchThatIsHeldUpForLongStartsNothingThatWasCancelled) {
+    Site site({.seed = 3, .machines = 1, .most_machines = 1});
+    site.poll_all(2s);
+    auto before = site.job(1, 500);
+    site.submit(before);
+    until(site, 30s, [&] { return site.worker_running(before.id) != nullptr; });
+    site.run(2s);
+    auto* worker = site.worker_running(before.id);
+    const auto old = *site.leader();
+    site.world.cut(worker->name(), site.node_name(old), 70s, Fault::Kind::hold);
+    std::vector<std::string> ids;
+    for (int i = 0; i < 3; ++i) {
+        auto spec = site.job(1, 500);
+        ids.push_back(spec.id);
+        site.submit(spec);
+    }
+    site.run(1500ms);
+    for (auto& id : ids) site.cancel(id, old);
+    until(site, 3s, [&] { return site.checker.confirmed() == 3; });
+    site.state().outage(80s);
+    site.run(100s);
+    EXPECT_EQ(site.verdict(site.world.now()), "");
+}
--- /dev/null
+++ b/tests/sim/worker.cpp
@@ -0,0 +1,232 @@
+#include "sim/worker.hpp"
+
+namespace barrowrun::sim {
+using net::http::verb;
+using wire::Cause;
+using wire::TaskState;
+
+Worker::Worker(World& world, Checker& checker, WorkerRules rules,
+               std::vector<std::pair<std::string, std::string>> nodes, std::string name, std::string type,
+               std::string zone, bool spot, wire::Resources capacity)
+    : world_(world),
+      checker_(checker),
+      rules_(rules),
+      nodes_(std::move(nodes)),
+      name_(std::move(name)),
+      type_(std::move(type)),
+      zone_(std::move(zone)),
+      spot_(spot),
+      capacity_(capacity),
+      node_(world.random() % nodes_.size()),
+      lease_from_(world.now()),
+      next_(world.now()),
+      self_(std::make_shared<Worker*>(this)) {
+    world_.serve(name_, name_, [this](Request r, Answer a) {
+        if (r.target == "/inspect") {
+            if (!hung()) return a({200, wire::report_json(say())});
+            return;
+        }
+        if (hung())
+            held_.emplace_back(std::move(r.body), std::move(a));
+        else
+            a(command(r.body));
+    });
+    world_.every(50ms, [this, alive = std::weak_ptr<Worker*>(self_)] {
+        if (alive.expired() || !alive_) return false;
+        step();
+        return true;
+    });
+}
+
+Worker::~Worker() {
+    if (alive_) die();
+}
+
+void Worker::die() {
+    if (!alive_) return;
+    alive_ = false;
+    world_.stop_serving(name_);
+    for (auto& [a, t] : tasks_) checker_.gone(name_, a);
+    tasks_.clear();
+}
+
+bool Worker::runs(const std::string& job) const {
+    return std::any_of(tasks_.begin(), tasks_.end(), [&](auto& kv) {
+        return kv.first.task.job == job && kv.second.state != TaskState::exited;
+    });
+}
+
+std::vector<std::string> Worker::jobs() const {
+    std::set<std::string> out;
+    for (auto& [a, t] : tasks_)
+        if (t.state != TaskState::exited) out.insert(a.task.job);
+    return {out.begin(), out.end()};
+}
+
+wire::Report Worker::say() {
+    wire::Report r{name_, name_, type_, zone_, spot_, session_, ++seq_, token_, std::nullopt, {}};
+    for (auto& [a, t] : tasks_) r.tasks.push_back({a, t.state, t.cause, t.stored});
+    return r;
+}
+
+void Worker::exit(const wire::Attempt& a, Task& t, Cause cause) {
+    t.state = TaskState::exited;
+    t.cause = cause;
+    checker_.gone(name_, a);
+    changed();
+}
+
+void Worker::end_session() {
+    for (auto& [a, t] : tasks_) checker_.gone(name_, a);
+    tasks_.clear();
+    ++session_;
+    lease_from_ = world_.now();
+    in_flight_ = false;
+    changed();
+}
+
+void Worker::step() {
+    // Also while it hangs: one that goes on after its lease has nothing left.
+    if (world_.now() - lease_from_ > rules_.lease) end_session();
+    if (hung()) return;
+    for (auto& [body, answer] : std::exchange(held_, {})) answer(command(body));
+    for (auto& [a, t] : tasks_) {
+        const auto* s = checker_.spec(a.task.job);
+        if (t.state == TaskState::fetching && world_.now() >= t.ready) {
+            t.state = TaskState::running;
+            checker_.started({name_, type_, zone_, spot_}, a);
+            // A result that was kept: it exits as soon as it has its image.
+            t.ends = results_.contains(a.task)             ? world_.now()
+                     : s && s->sort == wire::Sort::service ? Nanos::max()
+                                                           : world_.now() + secs(s ? s->estimate_s : 1);
+            changed();
+        }
+        if (t.state == TaskState::running && world_.now() >= t.ends) {
+            results_.insert(a.task);
+            checker_.finished(a.task);
+            exit(a, t, Cause::done);
+        }
+        if (t.state == TaskState::saving && world_.now() >= t.saved_at) {
+            t.stored = true;
+            exit(a, t, Cause::stopped);
+        }
+    }
+    if (!in_flight_ && world_.now() >= next_) report();
+}
+
+void Worker::report() {
+    in_flight_ = true;
+    last_sent_ = world_.now();
+    next_ = world_.now() +
+            std::chrono::milliseconds(static_cast<long>(
+                static_cast<double>(rules_.report.count() / 1'000'000) * world_.between(0.75, 1.25)));
+    auto body = wire::report_json(say());
+    if (copies_until_ > world_.now() && world_.one_in(copies_one_in_))
+        copies_([&world = world_, nodes = nodes_, from = name_ + "-copy", body] {
+            for (auto& [node, address] : nodes)
+                world.send({from, verb::post, "/hello", body, 0}, address, 4s, [](Reply) {});
+        });
+    const auto sent = world_.now();
+    const auto session = session_;
+    world_.send({name_, verb::post, "/hello", std::move(body), 0}, nodes_[node_].second, 4s,
+                [this, sent, session, alive = std::weak_ptr<Worker*>(self_)](Reply r) {
+                    if (alive.expired() || !alive_) return;
+                    if (!hung()) return answered(session, sent, r);
+                    // A machine that hangs reads it when it goes on, if it isn't too late by then.
+                    world_.at(hung_until_, [this, sent, session, r, alive] {
+                        if (alive.expired() || !alive_) return;
+                        if (world_.now() - sent > 4s)
+                            answered(session, sent, Reply{});
+                        else
+                            answered(session, sent, r);
+                    });
+                });
+}
+
+void Worker::answered(std::uint64_t session, Nanos sent, const Reply& reply) {
+    if (session != session_) return;
+    if (world_.now() - lease_from_ > rules_.lease) return end_session();
+    in_flight_ = false;
+    if (reply.status == 421) {
+        auto to = wire::parse_redirect(reply.body);
+        for (std::size_t i = 0; to && i < nodes_.size(); ++i)
+            if (nodes_[i].first == *to && i != node_) {
+                node_ = i;
+                next_ = world_.now() + std::chrono::milliseconds(world_.random() % 500);
+                return;
+            }
+    }
+    if (reply.status != 200) {
+        node_ = (node_ + 1) % nodes_.size();
+        next_ = world_.now() + 1s;
+        return;
+    }
+    auto token = wire::parse_token(reply.body);
+    if (!token || *token < token_) return;
+    lease_from_ = sent;
+    if (*token > token_) {
+        token_ = *token;
+        if (world_.now() - token_told_ > rules_.lease / 2) token_told_ = world_.now(), changed();
+    }
+    if (auto commands = wire::parse_commands(reply.body)) carry_out(*commands);
+}
+
+bool Worker::room_for(const wire::Resources& need) const {
+    auto room = capacity_;
+    for (auto& [a, t] : tasks_)
+        if (t.state != TaskState::exited)
+            if (auto* s = checker_.spec(a.task.job)) room -= s->need;
+    return need.fits(room);
+}
+
+void Worker::carry_out(const std::vector<wire::Command>& commands) {
+    for (auto& c : commands) {
+        auto it = tasks_.find(c.attempt);
+        if (c.verb == wire::Verb::reap) {
+            if (it != tasks_.end() && it->second.state == TaskState::exited) tasks_.erase(it), changed();
+            continue;
+        }
+        if (c.verb == wire::Verb::kill) {
+            if (it == tasks_.end() || it->second.state == TaskState::exited) continue;
+            auto& t = it->second;
+            auto* s = checker_.spec(c.attempt.task.job);
+            if (t.state == TaskState::running && s && s->checkpoint_s > 0 && c.grace_s >= s->save_s) {
+                t.state = TaskState::saving;
+                t.saved_at = world_.now() + secs(s->save_s);
+                changed();
+            } else if (t.state != TaskState::saving || c.grace_s <= 0) {
+                exit(c.attempt, t, Cause::stopped);
+            }
+            continue;
+        }
+        if (it != tasks_.end()) continue;
+        auto* s = checker_.spec(c.attempt.task.job);
+        const bool busy = std::any_of(tasks_.begin(), tasks_.end(), [&](auto& kv) {
+            return kv.first.task == c.attempt.task && kv.second.state != TaskState::exited;
+        });
+        Task t;
+        t.ready = world_.now() + std::chrono::milliseconds(100 + world_.random() % 900);
+        if (!s || busy || !room_for(s->need)) {
+            t.state = TaskState::exited;
+            t.cause = !s ? Cause::unknown : busy ? Cause::busy : Cause::no_room;
+        }
+        tasks_[c.attempt] = t;
+        changed();
+    }
+}
+
+Response Worker::command(const Json& body) {
+    auto token = wire::parse_token(body), session = wire::parse_session(body);
+    auto commands = wire::parse_commands(body);
+    if (!token || !session || !commands) return {400, {{"error", "token and session"}}};
+    if (world_.now() - lease_from_ > rules_.lease) end_session();
+    if (*token < token_ || *session != session_) return {409, wire::report_json(say())};
+    if (*token > token_) {
+        token_ = *token;
+        if (world_.now() - token_told_ > rules_.lease / 2) token_told_ = world_.now(), changed();
+    }
+    carry_out(*commands);
+    return {200, wire::report_json(say())};
+}
+
+}  // namespace barrowrun::sim
--- /dev/null
+++ b/tests/sim/worker.hpp
@@ -0,0 +1,69 @@
+#pragma once
+// A worker as the protocol describes it: sessions, leases, tokens; launch, kill and reap; hung, and with
+// messages held.
+#include "sim/checker.hpp"
+#include "sim/world.hpp"
+
+namespace barrowrun::sim {
+
+struct WorkerRules {
+    Nanos lease{12s}, report{3s};
+};
+
+class Worker {
+  public:
+    Worker(World& world, Checker& checker, WorkerRules rules,
+           std::vector<std::pair<std::string, std::string>> nodes, std::string name, std::string type,
+           std::string zone, bool spot, wire::Resources capacity);
+    ~Worker();
+    const std::string& name() const { return name_; }
+    void hang(Nanos length) { hung_until_ = world_.now() + length; }
+    bool hung() const { return hung_until_ > world_.now(); }
+    // The cloud takes it, with all that is on it.
+    void die();
+    bool alive() const { return alive_; }
+    bool runs(const std::string& job) const;
+    std::vector<std::string> jobs() const;  // of which it has tasks that go on
+    // Of its reports one in so many arrives once more at every node: whenever what is handed over is called.
+    using Copies = std::function<void(std::function<void()> arrive)>;
+    void copy_reports(std::uint64_t one_in, Nanos length, Copies copies) {
+        copies_one_in_ = one_in, copies_until_ = world_.now() + length, copies_ = std::move(copies);
+    }
+    std::uint64_t session() const { return session_; }
+
+  private:
+    struct Task {
+        wire::TaskState state = wire::TaskState::fetching;
+        wire::Cause cause = wire::Cause::none;
+        bool stored = false;
+        Nanos ready{0}, ends{0}, saved_at{0};
+    };
+    void step();
+    void report();
+    void answered(std::uint64_t session, Nanos sent, const Reply& reply);
+    void carry_out(const std::vector<wire::Command>& commands);
+    void exit(const wire::Attempt& a, Task& t, wire::Cause cause);
+    void end_session();
+    bool room_for(const wire::Resources& need) const;
+    wire::Report say();
+    Response command(const Json& body);
+    void changed() { next_ = std::min(next_, std::max(world_.now(), last_sent_ + 500ms)); }
+    World& world_;
+    Checker& checker_;
+    WorkerRules rules_;
+    std::vector<std::pair<std::string, std::string>> nodes_;  // name, address
+    std::string name_, type_, zone_;
+    bool spot_;
+    wire::Resources capacity_;
+    bool alive_ = true, in_flight_ = false;
+    std::uint64_t session_ = 1, seq_ = 0, token_ = 0, copies_one_in_ = 0;
+    std::size_t node_ = 0;
+    Nanos lease_from_, next_, last_sent_{-1s}, token_told_{-1000s}, hung_until_{0}, copies_until_{0};
+    Copies copies_;
+    std::map<wire::Attempt, Task> tasks_;
+    std::set<wire::TaskId> results_;
+    std::shared_ptr<Worker*> self_;              // for what comes back after its end
+    std::vector<std::pair<Json, Answer>> held_;  // commands that came while it hung
+};
+
+}  // namespace barrowrun::sim
