Read over: an unused list, a parameter that nothing read, a bound computed twice

Cause: left over from the simulation's first version; the leader has the time for which leases may be kept as a member. Change: no behaviour.

--- a/src/api/leader.cpp
+++ b/src/api/leader.cpp
@@ -32,8 +32,7 @@
             [this](std::string name, Task<> duty) { spawn(std::move(name), std::move(duty)); },
             services_.settings.clock_error,
             std::chrono::ceil<std::chrono::milliseconds>(longer(secs(services_.settings.rules.cancel_s))),
-            std::chrono::floor<std::chrono::milliseconds>(
-                leases::keep_for(services_.settings.rules.lease_s, services_.settings.rules.cancel_s))});
+            std::chrono::floor<std::chrono::milliseconds>(keep_)});
 }
 
 std::optional<leases::Grant> Leader::grant() const {
--- a/tests/sim/histories.cpp
+++ b/tests/sim/histories.cpp
@@ -110,7 +110,7 @@
     }
 }
 
-Drawn drawn(std::uint64_t, SiteOptions options, History history) {
+Drawn drawn(SiteOptions options, History history) {
     return {std::move(options), std::move(history)};
 }
 
@@ -119,7 +119,7 @@
 Drawn gap(std::uint64_t seed) {
     SiteOptions options;
     options.keep_leases = seed % 5 != 0;
-    return drawn(seed, options, [](Site& site) {
+    return drawn(options, [](Site& site) {
         auto& w = site.world;
         site.poll_all(1s);
         keep_busy(site, 60s);
@@ -157,8 +157,8 @@
     });
 }
 
-Drawn close_looks(std::uint64_t seed) {
-    return drawn(seed, {}, [](Site& site) {
+Drawn close_looks(std::uint64_t) {
+    return drawn({}, [](Site& site) {
         auto& w = site.world;
         site.close_looks = true;
         site.on_accepted = [&](const std::string& id) {
@@ -181,7 +181,7 @@
 }
 
 Drawn lost_answers(std::uint64_t seed) {
-    return drawn(seed, {}, [seed](Site& site) {
+    return drawn({}, [seed](Site& site) {
         auto& w = site.world;
         site.close_looks = true;
         site.poll_all(1s);
@@ -200,10 +200,10 @@
     });
 }
 
-Drawn limits(std::uint64_t seed) {
+Drawn limits(std::uint64_t) {
     SiteOptions options;
     options.team_cpus_most = 8;
-    return drawn(seed, options, [](Site& site) {
+    return drawn(options, [](Site& site) {
         auto& w = site.world;
         site.poll_all(2s);
         keep_busy(site, 60s);
@@ -222,8 +222,8 @@
     });
 }
 
-Drawn handover(std::uint64_t seed) {
-    return drawn(seed, {}, [](Site& site) {
+Drawn handover(std::uint64_t) {
+    return drawn({}, [](Site& site) {
         auto& w = site.world;
         site.poll_all(1s);
         keep_busy(site, 50s);
@@ -242,10 +242,10 @@
     });
 }
 
-Drawn new_machines(std::uint64_t seed) {
+Drawn new_machines(std::uint64_t) {
     SiteOptions options;
     options.machines = 1, options.most_machines = 14, options.boot_s = 1.5;
-    return drawn(seed, options, [](Site& site) {
+    return drawn(options, [](Site& site) {
         auto& w = site.world;
         site.poll_all(2s);
         site.run(2s);
@@ -265,8 +265,8 @@
     });
 }
 
-Drawn old_reports(std::uint64_t seed) {
-    return drawn(seed, {}, [](Site& site) {
+Drawn old_reports(std::uint64_t) {
+    return drawn({}, [](Site& site) {
         auto& w = site.world;
         site.poll_all(2s);
         keep_busy(site, 60s);
@@ -285,10 +285,10 @@
     });
 }
 
-Drawn many_small(std::uint64_t seed) {
+Drawn many_small(std::uint64_t) {
     SiteOptions options;
     options.most_machines = 20;
-    return drawn(seed, options, [](Site& site) {
+    return drawn(options, [](Site& site) {
         auto& w = site.world;
         site.poll_all(5s);
         w.every(250ms, [&site, &w, until = w.now() + 90s] {
--- a/tests/sim/world.hpp
+++ b/tests/sim/world.hpp
@@ -55,8 +55,6 @@
     static World& current();
     Nanos now() const { return Present::now; }
     std::mt19937_64 random;
-    // Draws of the network stand apart, so that a script's draws don't move when the nodes send one message
-    // more.
     bool one_in(std::uint64_t n) { return random() % n == 0; }
     double between(double least, double most) {
         return least + (most - least) * static_cast<double>(random() % 1'000'001) / 1e6;
@@ -103,12 +101,11 @@
     const Fault* fault_between(const std::string& from, const std::string& to) const;
     Nanos latency(const std::string& from, const std::string& to);
     void deliver(Request request, const std::string& address, std::function<void(Reply)> done);
-    std::mt19937_64 network_;
+    std::mt19937_64 network_;  // apart: a script's draws don't move with the number of messages
     std::map<std::pair<Nanos, std::uint64_t>, Event> queue_;
     std::map<std::uint64_t, Nanos> due_;
     std::uint64_t next_ = 1, events_ = 0;
     std::map<asio::io_context*, Process*> processes_;
-    std::list<std::string> order_;
     std::set<Process*> touched_;
     std::map<std::string, Listener> servers_;
     std::list<Fault> faults_;
