--- a/src/api/leader.cpp
+++ b/src/api/leader.cpp
@@ -18,9 +18,10 @@
       silence_(
           {secs(services.settings.rules.report_s), secs(services.settings.rules.lease_s), asked_at_once}),
       contact_(secs(services.settings.rules.report_s), acquired),
-      keep_(leases::keep_for(services.settings.rules.lease_s, services.settings.rules.cancel_s)),
+      renewal_period_(
+          leases::renewal_period(services.settings.rules.lease_s, services.settings.rules.cancel_s)),
       // Reckoned with even where it is switched off: a predecessor may have had it on.
-      cover_(services.settings.member_names(), keep_, acquired, token) {
+      renewal_bound_(services.settings.member_names(), renewal_period_, acquired, token) {
     cluster_.lead(token, acquired);
     cluster_.set_types(services_.catalog);
     if (!services_.settings.cells) return;
@@ -32,18 +33,19 @@
             [this](std::string name, Task<> duty) { spawn(std::move(name), std::move(duty)); },
             services_.settings.clock_error,
             std::chrono::ceil<std::chrono::milliseconds>(longer(secs(services_.settings.rules.cancel_s))),
-            std::chrono::floor<std::chrono::milliseconds>(keep_)});
+            std::chrono::floor<std::chrono::milliseconds>(renewal_period_)});
 }
 
-std::optional<leases::Grant> Leader::grant() const {
-    if (!loaded_ || services_.settings.keep_leases() <= Clock::duration::zero()) return std::nullopt;
-    return leases::Grant{services_.election.token(), cover_.stamp(Clock::now()), false,
-                         cluster_.holding_cancelled()};
+std::optional<leases::RenewalGrant> Leader::grant() const {
+    if (!loaded_ || services_.settings.lease_renewal_period() <= Clock::duration::zero()) return std::nullopt;
+    return leases::RenewalGrant{services_.election.token(), renewal_bound_.stamp(Clock::now()), false,
+                                cluster_.holding_cancelled()};
 }
 
-std::optional<leases::Grant> Leader::heard(const std::string& node, const leases::Sign& sign) {
+std::optional<leases::RenewalGrant> Leader::heard(const std::string& node,
+                                                  const leases::Heartbeat& heartbeat) {
     auto out = grant();
-    cover_.heard(node, sign, Clock::now(), out.has_value());
+    renewal_bound_.heard(node, heartbeat, Clock::now(), out.has_value());
     return out;
 }
 
@@ -261,8 +263,8 @@
         }
         if (!may_act()) continue;
         cluster_.lead(services_.election.token(), acquired_);
-        const bool moved =
-            cluster_.tick(now, [&](const std::string& zone) { return cover_.answered(zone, now); });
+        const bool moved = cluster_.tick(
+            now, [&](const std::string& zone) { return renewal_bound_.latest_renewal(zone, now); });
         const auto& rules = services_.settings.rules;
         int asked = 0;
         bool any_up = false;
--- a/src/api/leader.hpp
+++ b/src/api/leader.hpp
@@ -31,7 +31,7 @@
     net::HttpClient& peers;
     election::Election& election;
     std::vector<wire::MachineType>& catalog;  // machine types as last known
-    const leases::Keeper& keeper;             // what this node knows of cancelled jobs without the records
+    const leases::LeaseRenewer& renewer;      // what this node knows of cancelled jobs without the records
 };
 
 // Questions to machines beside their reports, at once: a share of what a process with a fraction of a core
@@ -50,8 +50,9 @@
     bool may_act() const { return !stopped_ && services_.election.leading(Clock::now()); }
     // A worker's report, at this node or by way of another.
     Task<Response> hello(wire::Report report, bool direct);
-    // This node renewed the lease of a machine's worker while the term had no right to act (leases::Keeper). The
-    // right may come back, and then the lease counts from there (docs/incidents/lapsed-right.md).
+    // This node renewed the lease of a machine's worker while the term had no right to act
+    // (leases::LeaseRenewer). The right may come back, and then the lease counts from there
+    // (docs/incidents/lapsed-right.md).
     void lease_renewed(const std::string& machine, TimePoint when);
     // The state of a job if this leader knows it, and no record that changes it is under way.
     std::optional<wire::JobStatus> status(const std::string& id) const;
@@ -66,9 +67,9 @@
     Response quota_page(std::uint64_t since, std::uint64_t page) const;
     Task<Response> change_quotas(Json change);
     std::optional<Json> explain(const std::string& id) const;
-    // Another node's sign of life; what it may keep until the next, if its answer may say so.
-    std::optional<leases::Grant> heard(const std::string& node, const leases::Sign& sign);
-    std::optional<leases::Grant> grant() const;
+    // Another node's heartbeat; what it may keep until the next, if its answer may say so.
+    std::optional<leases::RenewalGrant> heard(const std::string& node, const leases::Heartbeat& heartbeat);
+    std::optional<leases::RenewalGrant> grant() const;
     std::uint64_t quota_version() const { return book_.version(); }
     const quota::Tree& quota_tree() const { return cluster_.ledger().tree(); }
 
@@ -117,8 +118,8 @@
     TimePoint last_hello_{}, served_looked_{}, ways_asked_{};
     fleet::Silence silence_;
     fleet::Contact contact_;
-    const Clock::duration keep_;  // leases::keep_for
-    leases::Cover cover_;
+    const Clock::duration renewal_period_;  // leases::renewal_period
+    leases::RenewalBound renewal_bound_;
     std::unique_ptr<Cells> cells_;
     TimePoint behind_until_{};  // as it was last said
 };
--- a/src/api/node.hpp
+++ b/src/api/node.hpp
@@ -16,6 +16,20 @@
     Task<Response> peer_route(net::Request request);
     Task<Response> submit(std::string body);
     Task<Response> submit_job(wire::JobSpec spec, bool from_peer);
+    // Why a submission isn't accepted.
+    struct Refusal {
+        int status = 0;
+        std::string reason;
+        int retry_after_s = 0;
+    };
+    std::optional<Refusal> refused_by_settings(const wire::JobSpec& spec) const;
+    std::optional<Refusal> refused_by_types(const wire::JobSpec& spec) const;
+    std::optional<Refusal> refused_by_queues(const wire::JobSpec& spec);
+    Task<std::optional<Refusal>> refused(const wire::JobSpec& spec);
+    Task<Response> answer_refused(std::string id, Refusal refusal);
+    // Accepts the job; nothing: this node can't tell whether it is on record, or can't write it.
+    Task<std::optional<Response>> write_submission(const state::JobRecord& record);
+    Task<std::optional<Response>> pass_to_a_peer(const wire::JobSpec& spec);
     Task<Response> status(std::string id);
     Task<Response> cancel(std::string id, bool from_peer);
     Task<Response> hello(std::string body);
@@ -45,8 +59,8 @@
     std::vector<wire::MachineType> catalog_;
     net::HttpServer public_server_, peer_server_;
     std::shared_ptr<Leader> leader_;
-    leases::Keeper keeper_;
-    TimePoint kept_said_{};
+    leases::LeaseRenewer renewer_;
+    TimePoint renewal_logged_{};
     bool ready_ = true;                                // as the last look at its health told
     quota::TreePtr known_quotas_;                      // as last read, to check projects without the lead
     std::map<std::string, wire::JobStatus> finished_;  // final states seen, bounded
--- /dev/null
+++ b/src/api/node_operators.cpp
@@ -0,0 +1,87 @@
+// What operators ask: quotas, and why a job waits. Only the leader can answer.
+#include <charconv>
+
+#include "api/answers.hpp"
+#include "api/node.hpp"
+
+namespace barrowrun::api {
+using namespace std::chrono_literals;
+
+namespace {
+// `name=123` of a target; 0 if it isn't there.
+std::uint64_t query_number(const std::string& target, const std::string& name) {
+    auto at = target.find('?');
+    while (at != std::string::npos) {
+        auto begin = at + 1;
+        at = target.find('&', begin);
+        auto part = target.substr(begin, at == std::string::npos ? at : at - begin);
+        if (!part.starts_with(name + "=")) continue;
+        std::uint64_t n = 0;
+        std::from_chars(part.data() + name.size() + 1, part.data() + part.size(), n);
+        return n;
+    }
+    return 0;
+}
+}  // namespace
+
+Task<Response> Node::quotas(std::string target, bool change, Json body, bool from_peer) {
+    if (change && !from_peer) {
+        if (settings_.operator_key.empty())
+            co_return problem(403, "no operator_key is set: quotas can't be changed here");
+        if (!same_secret(wire::text(body, "key").value_or(""), settings_.operator_key))
+            co_return problem(403, "the operator key is not the one that is set");
+        body.erase("key");
+    }
+    if (auto kept = leader_; leader()) {
+        if (change) co_return co_await kept->change_quotas(std::move(body));
+        auto answer = kept->quota_page(query_number(target, "since"), query_number(target, "page"));
+        if (kept->may_act()) co_return answer;
+    } else if (!from_peer) {
+        Json ask{{"target", target}};
+        if (change) ask["change"] = std::move(body);
+        // A change waits for the state service; without an answer it may have been made.
+        const Clock::duration patience = change ? 4500ms : 1500ms;
+        auto answer = co_await ask_leader("/peer/quota", std::move(ask), patience);
+        if (answer) co_return std::move(*answer);
+    }
+    co_return problem(503, "no leader can be reached", 1);
+}
+
+Task<Response> Node::explain(std::string id, bool from_peer) {
+    if (!wire::valid_job_id(id)) co_return problem(404, "no such job");
+    if (auto kept = leader_; leader()) {
+        auto answer = kept->explain(id);
+        if (answer && kept->may_act()) co_return Response{200, std::move(*answer)};
+    } else if (!from_peer) {
+        if (auto answer = co_await ask_leader("/peer/explain", id_body(id), 1000ms))
+            co_return std::move(*answer);
+    }
+    if (from_peer) co_return problem(503, "not known here");
+    // Over, unknown, or nobody leads: its state is all there is to say.
+    co_return co_await status(id);
+}
+
+Task<std::optional<std::string>> Node::check_project(const wire::JobSpec& spec) {
+    if (spec.project.empty()) co_return std::nullopt;
+    const std::string refusal = "unknown project '" + spec.project + "' of team " + spec.team;
+    if (!settings_.rules.quotas) co_return refusal + ": quotas are not switched on";
+    if (auto kept = leader_; leader() && kept->loaded()) {
+        if (kept->quota_tree().project(spec.team, spec.project)) co_return std::nullopt;
+        co_return refusal;
+    }
+    if (known_quotas_ && known_quotas_->project(spec.team, spec.project)) co_return std::nullopt;
+    // It may have been added since: a refusal needs a fresh look. Where none can be had the job is taken, and
+    // charged to the nearest node above.
+    quota::Book book;
+    const auto outcome = co_await read_quotas(state_, settings_.rules.value_bytes, book);
+    if (outcome != QuotasRead::ok && outcome != QuotasRead::none) co_return std::nullopt;
+    auto lines = *settings_.rules.quotas;
+    if (outcome == QuotasRead::ok) lines = book.lines();
+    auto built = quota::Tree::build(std::move(lines), placement::quota_teams(settings_.rules.teams));
+    if (!built.tree) co_return std::nullopt;
+    known_quotas_ = built.tree;
+    if (known_quotas_->project(spec.team, spec.project)) co_return std::nullopt;
+    co_return refusal;
+}
+
+}  // namespace barrowrun::api
--- a/src/api/node_peers.cpp
+++ b/src/api/node_peers.cpp
@@ -16,8 +16,8 @@
             {"state_ok", state_.answers(Clock::now())}, {"leading", leads}, {"elected", election_.elected()}};
         answer["waiting"] = leads ? leader_->waiting() : 0;
         if (const Json* value = wire::find(*body, "leases"); value && leads)
-            if (auto sign = leases::parse_sign(*value))
-                if (auto grant = leader_->heard(wire::text(*body, "from").value_or(""), *sign))
+            if (auto heartbeat = leases::parse_heartbeat(*value))
+                if (auto grant = leader_->heard(wire::text(*body, "from").value_or(""), *heartbeat))
                     answer["leases"] = leases::to_json(*grant);
         if (auto* cells = leads ? leader_->cells() : nullptr; cells && wire::find(*body, "cell"))
             answer["digest"] = cells->digest();
--- a/src/api/workers.cpp
+++ b/src/api/workers.cpp
@@ -21,7 +21,7 @@
             it->second = report;
         // What the predecessor has confirmed as cancelled stands in the records, and an outage that begins
         // before they are read may last for longer than `cancel_s`.
-        if (!services_.keeper.may_renew(report.machine, now)) co_return not_entitled;
+        if (!services_.renewer.may_renew(report.machine, now)) co_return not_entitled;
         if (cells_ && !cells_->may_renew(report, nullptr)) co_return not_entitled;
         early_answer_[report.machine] = now;
         co_return Response{200, wire::report_answer(token, {})};
@@ -32,7 +32,7 @@
     if (!m) co_return not_entitled;
     if (!newer && report.session != m->session) co_return not_entitled;
     if (cells_ && !cells_->may_renew(report, m)) co_return not_entitled;
-    if (!m->may_renew(now, keep_)) co_return not_entitled;
+    if (!m->may_renew(now, renewal_period_)) co_return not_entitled;
     // Not newer, but of this session: an answer to a push has overtaken it. The worker still waits for this
     // one.
     auto commands = cluster_.reply_commands(*m, now, newer && !m->returning);
--- a/src/ctl/quota.cpp
+++ b/src/ctl/quota.cpp
@@ -8,8 +8,8 @@
 #include <map>
 #include <random>
 
-#include "settings/settings.hpp"
 #include "config/quotas.hpp"
+#include "settings/settings.hpp"
 
 namespace barrowrun::ctl {
 using net::Task;
--- a/src/election/election.cpp
+++ b/src/election/election.cpp
@@ -287,7 +287,7 @@
     for (;;) {
         auto answered = state_.answers(Clock::now());
         Json now_said;
-        if (sign) now_said = sign();
+        if (heartbeat) now_said = heartbeat();
         for (auto& p : peers_) {
             auto ask = [](Election* self, Peer* peer, bool ok, Json said) -> Task<> {
                 Json body{{"from", self->node_}, {"state_ok", ok}};
--- a/src/election/election.hpp
+++ b/src/election/election.hpp
@@ -37,9 +37,9 @@
 
     std::function<void(std::uint64_t token, TimePoint acquired)> on_lead;
     std::function<void()> on_lose;
-    // What goes with a sign of life to the others, and what a leader's answer to one that was sent then
+    // What goes with a heartbeat to the others, and what a leader's answer to one that was sent then
     // brings.
-    std::function<wire::Json()> sign;
+    std::function<wire::Json()> heartbeat;
     std::function<void(TimePoint sent, const wire::Json& grant)> on_grant;
 
     Task<> run();
--- a/src/leases/leases.cpp
+++ b/src/leases/leases.cpp
@@ -18,133 +18,135 @@
 }
 }  // namespace
 
-Clock::duration keep_for(double lease_s, double cancel_s) {
+Clock::duration renewal_period(double lease_s, double cancel_s) {
     // Two clocks are in it, the node's and the worker's, and two timers.
     auto left = secs(cancel_s) - longer(secs(lease_s)) - std::chrono::milliseconds(100);
     auto keep = shorter(left);
     return std::max(keep, Clock::duration::zero());
 }
 
-Json to_json(const Grant& g) {
-    Json out{{"token", g.token}, {"stamp", g.stamp}};
-    if (g.nothing || g.but.size() > most_named)
+Json to_json(const RenewalGrant& grant) {
+    Json out{{"token", grant.token}, {"stamp", grant.stamp}};
+    if (grant.grants_nothing || grant.excluded_machines.size() > most_named)
         out["but"] = true;
     else
-        out["but"] = g.but;
+        out["but"] = grant.excluded_machines;
     return out;
 }
 
-std::optional<Grant> parse_grant(const Json& value) {
+std::optional<RenewalGrant> parse_renewal_grant(const Json& value) {
     auto token = wire::count(value, "token"), stamp = wire::count(value, "stamp");
     const Json* but = wire::find(value, "but");
     if (!token || !stamp || !but) return std::nullopt;
-    Grant g{*token, *stamp, false, {}};
+    RenewalGrant grant{*token, *stamp, false, {}};
     if (but->is_array()) {
         for (auto& name : *but) {
             if (!name.is_string()) return std::nullopt;
-            g.but.insert(name.get<std::string>());
+            grant.excluded_machines.insert(name.get<std::string>());
         }
     } else {
-        g.nothing = true;
+        grant.grants_nothing = true;
     }
-    return g;
+    return grant;
 }
 
-Json to_json(const Sign& s) {
-    return {{"zone", s.zone},       {"token", s.token}, {"stamp", s.stamp},
-            {"held_ms", s.held_ms}, {"quiet", s.quiet}, {"own_ms", s.own_ms}};
+Json to_json(const Heartbeat& heartbeat) {
+    return {{"zone", heartbeat.zone},      {"token", heartbeat.token},
+            {"stamp", heartbeat.stamp},    {"held_ms", heartbeat.grant_age_ms},
+            {"quiet", heartbeat.abstains}, {"own_ms", heartbeat.last_renewal_age_ms}};
 }
 
-std::optional<Sign> parse_sign(const Json& value) {
+std::optional<Heartbeat> parse_heartbeat(const Json& value) {
     auto zone = wire::text(value, "zone");
     auto token = wire::count(value, "token"), stamp = wire::count(value, "stamp"),
          held = wire::count(value, "held_ms"), own = wire::count(value, "own_ms");
-    auto is_quiet = wire::flag(value, "quiet");
-    if (!zone || !token || !stamp || !held || !own || !is_quiet) return std::nullopt;
-    return Sign{*zone, *token, *stamp, *held, *is_quiet, *own};
+    auto abstains = wire::flag(value, "quiet");
+    if (!zone || !token || !stamp || !held || !own || !abstains) return std::nullopt;
+    return Heartbeat{*zone, *token, *stamp, *held, *abstains, *own};
 }
 
 // ---- a node --------------------------------------------------------------------------------------------
 
-void Keeper::granted(TimePoint sent, TimePoint received, Grant grant) {
+void LeaseRenewer::granted(TimePoint sent, TimePoint received, RenewalGrant grant) {
     // Answers may overtake one another; an older one tells nothing new.
     if (contact_ && sent <= *contact_) return;
     contact_ = sent;
     received_ = received;
     grant_ = std::move(grant);
-    echoes_ = true;
+    grant_is_remote_ = true;
 }
 
-void Keeper::leads(TimePoint now, Grant grant) {
+void LeaseRenewer::leads(TimePoint now, RenewalGrant grant) {
     contact_ = received_ = now;
     grant_ = std::move(grant);
-    echoes_ = false;
+    grant_is_remote_ = false;
 }
 
-Sign Keeper::sign(TimePoint now) {
-    Sign out;
+Heartbeat LeaseRenewer::heartbeat(TimePoint now) {
+    Heartbeat out;
     out.zone = zone_;
-    if (contact_ && echoes_) {
+    if (contact_ && grant_is_remote_) {
         out.token = grant_.token;
         out.stamp = grant_.stamp;
-        out.held_ms = whole_ms(now - received_);
+        out.grant_age_ms = whole_ms(now - received_);
     }
-    out.own_ms = whole_ms(now - own_);
+    out.last_renewal_age_ms = whole_ms(now - last_renewal_);
     if (contact_ && now - *contact_ < std::chrono::milliseconds(2000)) {
-        out.quiet = true;
-        quiet_until_ = std::max(quiet_until_, now + longer(quiet));
+        out.abstains = true;
+        abstains_until_ = std::max(abstains_until_, now + longer(abstention_period));
     }
     return out;
 }
 
-bool Keeper::may_renew(const std::string& machine, TimePoint now) const {
-    return contact_ && now < *contact_ + keep_ && !grant_.nothing && !grant_.but.contains(machine);
+bool LeaseRenewer::may_renew(const std::string& machine, TimePoint now) const {
+    return contact_ && now < *contact_ + renewal_period_ && !grant_.grants_nothing &&
+           !grant_.excluded_machines.contains(machine);
 }
 
-bool Keeper::may_keep(const wire::Report& report, TimePoint now, bool cut_off) {
+bool LeaseRenewer::may_renew_cut_off(const wire::Report& report, TimePoint now, bool cut_off) {
     if (!cut_off || report.zone != zone_ || !may_renew(report.machine, now)) return false;
     // A worker that knows a higher token would drop the answer and stay here while its lease runs out.
-    if (report.token > grant_.token || now < quiet_until_) return false;
-    own_ = now;
+    if (report.token > grant_.token || now < abstains_until_) return false;
+    last_renewal_ = now;
     return true;
 }
 
 // ---- the leader ----------------------------------------------------------------------------------------
 
-Cover::Cover(const std::set<std::string>& nodes, Clock::duration keep, TimePoint acquired,
-             std::uint64_t token)
-    : keep_(keep), acquired_(acquired), first_token_(token) {
+RenewalBound::RenewalBound(const std::set<std::string>& nodes, Clock::duration period, TimePoint acquired,
+                           std::uint64_t token)
+    : renewal_period_(period), acquired_(acquired), first_token_(token) {
     // Whatever a predecessor granted was granted before this leader's time.
-    for (auto& name : nodes) nodes_[name].limit = acquired + longer(keep);
+    for (auto& name : nodes) nodes_[name].grants_end = acquired + longer(period);
 }
 
-std::uint64_t Cover::stamp(TimePoint now) const {
+std::uint64_t RenewalBound::stamp(TimePoint now) const {
     return whole_ms(now - acquired_) + 1;
 }
 
-void Cover::heard(const std::string& node, const Sign& sign, TimePoint now, bool granted) {
+void RenewalBound::heard(const std::string& node, const Heartbeat& heartbeat, TimePoint now, bool granted) {
     auto it = nodes_.find(node);
     if (it == nodes_.end()) return;
     Node& n = it->second;
-    n.zone = sign.zone;
-    // The sign may have been held for minutes: it was sent after the stamp that it brings back was given, and
-    // no later than now. It speaks for what is between only as far as both hold.
-    n.own = std::max(n.own, now - shorter(ms(sign.own_ms)));
+    n.zone = heartbeat.zone;
+    // The heartbeat may have been held for minutes: it was sent after the stamp that it brings back was
+    // given, and no later than now. It speaks for what is between only as far as both hold.
+    n.last_renewal = std::max(n.last_renewal, now - shorter(ms(heartbeat.last_renewal_age_ms)));
     // Tokens only grow: a lower one is of an earlier term, and so is its stamp.
-    if (sign.quiet && sign.stamp > 0 && sign.token >= first_token_) {
-        auto sent = acquired_ + ms(sign.stamp - 1) + shorter(ms(sign.held_ms));
-        if (sent <= now) n.quiet_until = std::max(n.quiet_until, sent + shorter(quiet));
+    if (heartbeat.abstains && heartbeat.stamp > 0 && heartbeat.token >= first_token_) {
+        auto sent = acquired_ + ms(heartbeat.stamp - 1) + shorter(ms(heartbeat.grant_age_ms));
+        if (sent <= now) n.abstains_until = std::max(n.abstains_until, sent + shorter(abstention_period));
     }
-    if (granted) n.limit = std::max(n.limit, now + longer(keep_));
+    if (granted) n.grants_end = std::max(n.grants_end, now + longer(renewal_period_));
 }
 
-TimePoint Cover::answered(const std::string& zone, TimePoint now) const {
+TimePoint RenewalBound::latest_renewal(const std::string& zone, TimePoint now) const {
     TimePoint last{};
-    if (keep_ <= Clock::duration::zero()) return last;
+    if (renewal_period_ <= Clock::duration::zero()) return last;
     for (auto& [name, n] : nodes_) {
         if (n.zone && !zone.empty() && *n.zone != zone) continue;
-        last = std::max(last, std::min(now, n.own));
-        if (now > n.quiet_until) last = std::max(last, std::min(now, n.limit));
+        last = std::max(last, std::min(now, n.last_renewal));
+        if (now > n.abstains_until) last = std::max(last, std::min(now, n.grants_end));
     }
     return last;
 }
--- a/src/leases/leases.hpp
+++ b/src/leases/leases.hpp
@@ -22,42 +22,43 @@
 
 namespace barrowrun::leases {
 
-// For how long after its last contact a node may answer; zero: never.
-Clock::duration keep_for(double lease_s, double cancel_s);
-// For how long a node promises, with each sign of life to a leader that answers it, to keep nothing.
-inline constexpr std::chrono::milliseconds quiet{2500};
+// For how long after its last contact with a leader a node may renew leases; zero: never.
+Clock::duration renewal_period(double lease_s, double cancel_s);
+// For how long a node abstains from renewing leases, counted from each heartbeat that says so.
+inline constexpr std::chrono::milliseconds abstention_period{2500};
 
-// What the leader tells with its answer to a node's sign of life.
-struct Grant {
+// What a leader allows a node, with its answer to the node's heartbeat.
+struct RenewalGrant {
     std::uint64_t token = 0;
-    std::uint64_t stamp = 0;    // ms on the leader's clock; means something to it alone
-    bool nothing = false;       // nothing may be kept: too many to name
-    std::set<std::string> but;  // machines that may hold a task of a cancelled job
+    std::uint64_t stamp = 0;      // ms on the leader's clock; means something to it alone
+    bool grants_nothing = false;  // no lease may be renewed: too many machines would have to be named
+    std::set<std::string> excluded_machines;  // they may hold a task of a cancelled job
 };
-wire::Json to_json(const Grant& g);
-std::optional<Grant> parse_grant(const wire::Json& value);
+wire::Json to_json(const RenewalGrant& grant);
+std::optional<RenewalGrant> parse_renewal_grant(const wire::Json& value);
 
-// What a node says with its sign of life.
-struct Sign {
+// A node's part of its heartbeat to the leader, once a second.
+struct Heartbeat {
     std::string zone;
     std::uint64_t token = 0, stamp = 0;  // of the last grant; 0: none
-    std::uint64_t held_ms = 0;           // how long ago that came
-    bool quiet = false;                  // keeps nothing for `quiet` from now
-    std::uint64_t own_ms = 0;            // since when it has kept no lease, at the latest its start
+    std::uint64_t grant_age_ms = 0;      // how long ago that came
+    bool abstains = false;               // renews no lease for `abstention_period` from now
+    std::uint64_t last_renewal_age_ms =
+        0;  // how long ago it last renewed a lease, at the most since its start
 };
-wire::Json to_json(const Sign& s);
-std::optional<Sign> parse_sign(const wire::Json& value);
+wire::Json to_json(const Heartbeat& heartbeat);
+std::optional<Heartbeat> parse_heartbeat(const wire::Json& value);
 
-// A node's side.
-class Keeper {
+// A node's side: which leases it may renew by itself.
+class LeaseRenewer {
   public:
-    Keeper(std::string zone, Clock::duration keep, TimePoint start)
-        : zone_(std::move(zone)), keep_(keep), own_(start) {}
-    // The leader answered a sign of life that was sent then.
-    void granted(TimePoint sent, TimePoint received, Grant grant);
+    LeaseRenewer(std::string zone, Clock::duration period, TimePoint start)
+        : zone_(std::move(zone)), renewal_period_(period), last_renewal_(start) {}
+    // The leader answered a heartbeat that was sent then.
+    void granted(TimePoint sent, TimePoint received, RenewalGrant grant);
     // This node leads, and has the right to at this moment: it counts as its own contact.
-    void leads(TimePoint now, Grant grant);
-    Sign sign(TimePoint now);
+    void leads(TimePoint now, RenewalGrant grant);
+    Heartbeat heartbeat(TimePoint now);
     // Whether the lease of the machine's worker may be renewed from what this node knows of cancelled jobs:
     // by its last contact nothing there was to be gone, and what was cancelled since is gone in time if it
     // answers now. Whoever hasn't read the records has no better right, a new leader included
@@ -65,36 +66,37 @@
     bool may_renew(const std::string& machine, TimePoint now) const;
     // Whether the report may be answered with the token alone. `cut_off`: neither the leader nor the state
     // service is heard.
-    bool may_keep(const wire::Report& report, TimePoint now, bool cut_off);
+    bool may_renew_cut_off(const wire::Report& report, TimePoint now, bool cut_off);
     std::uint64_t token() const { return grant_.token; }
 
   private:
     std::string zone_;
-    Clock::duration keep_;
+    Clock::duration renewal_period_;
     std::optional<TimePoint> contact_;
-    TimePoint received_{}, quiet_until_{}, own_;
-    Grant grant_;
-    bool echoes_ = false;  // the stamp is another's: to be sent back
+    TimePoint received_{}, abstains_until_{}, last_renewal_;
+    RenewalGrant grant_;
+    bool grant_is_remote_ = false;  // its stamp is another node's, and goes back with the heartbeat
 };
 
-// The leader's side: until when other nodes may have kept leases.
-class Cover {
+// The leader's side: until when other nodes may have renewed leases.
+class RenewalBound {
   public:
     // `nodes`: by name; their zones are not known before they say so, so that any may be theirs.
     // `token`: the term's first.
-    Cover(const std::set<std::string>& nodes, Clock::duration keep, TimePoint acquired, std::uint64_t token);
-    // A sign of life, and whether it is answered with a grant.
-    void heard(const std::string& node, const Sign& sign, TimePoint now, bool granted);
+    RenewalBound(const std::set<std::string>& nodes, Clock::duration period, TimePoint acquired,
+                 std::uint64_t token);
+    // A heartbeat, and whether it is answered with a grant.
+    void heard(const std::string& node, const Heartbeat& heartbeat, TimePoint now, bool granted);
     std::uint64_t stamp(TimePoint now) const;
-    // The latest moment up to now at which a node may have answered a worker of the zone by itself.
-    TimePoint answered(const std::string& zone, TimePoint now) const;
+    // The latest moment up to now at which a node may have renewed a lease in the zone by itself.
+    TimePoint latest_renewal(const std::string& zone, TimePoint now) const;
 
   private:
     struct Node {
         std::optional<std::string> zone;
-        TimePoint own{}, quiet_until{}, limit{};
+        TimePoint last_renewal{}, abstains_until{}, grants_end{};
     };
-    Clock::duration keep_;
+    Clock::duration renewal_period_;
     TimePoint acquired_;
     std::uint64_t first_token_;
     std::map<std::string, Node> nodes_;
--- a/src/placement/cluster.hpp
+++ b/src/placement/cluster.hpp
@@ -211,7 +211,8 @@
 
     // Time passing: leases that run out, stops that come due, gangs in trouble, faulty machines. True if
     // tasks were proven gone.
-    // `others`: until when other nodes may have answered workers of a zone by themselves (leases::Cover).
+    // `others`: until when other nodes may have answered workers of a zone by themselves
+    // (leases::RenewalBound).
     bool tick(TimePoint now, const std::function<TimePoint(const std::string& zone)>& others = {});
     // Machines that may hold a task of a cancelled job, launches on their way included.
     std::set<std::string> holding_cancelled() const;
--- /dev/null
+++ b/src/placement/eligibility.cpp
@@ -0,0 +1,42 @@
+// Which machines a job may use, and which are fit to be given work at all.
+#include <algorithm>
+
+#include "placement/cluster.hpp"
+
+namespace barrowrun::placement {
+
+bool Cluster::usable(const Machine& m, TimePoint now) const {
+    return m.up && !m.returning && !m.drain && !m.faulty && !m.suspect && !m.taken_at &&
+           m.capacity.mem_gb > 0 && now - m.last_report < secs(rules_.report_s * 1.25 + 1.5);
+}
+
+bool Cluster::gpu_reserved(const wire::JobSpec& spec, const wire::MachineType& t) const {
+    if (t.gpus <= 0 || spec.need.gpus > 0) return false;
+    for (auto& [name, other] : types_)
+        if (other.gpus <= 0 && spec.need.fits({other.cpus, other.gpus, other.mem_gb}) &&
+            (!spec.types || std::find(spec.types->begin(), spec.types->end(), name) != spec.types->end()))
+            return true;
+    return false;
+}
+
+bool Cluster::allowed(const wire::JobSpec& spec, const std::string& type, const std::string& zone,
+                      bool spot) const {
+    if (spot && !spec.spot_ok) return false;
+    if (spec.zone && *spec.zone != zone) return false;
+    if (spec.types && std::find(spec.types->begin(), spec.types->end(), type) == spec.types->end())
+        return false;
+    if (auto t = types_.find(type); t != types_.end() && gpu_reserved(spec, t->second)) return false;
+    return true;
+}
+
+const std::vector<const Rooms::Alike*>& Cluster::may_use(Job& job) {
+    if (job.may_use_of != rooms_.sorts()) {
+        job.may_use.clear();
+        for (auto& [key, those] : rooms_.alike())
+            if (allowed(job.spec, those->type, those->zone, those->spot)) job.may_use.push_back(those.get());
+        job.may_use_of = rooms_.sorts();
+    }
+    return job.may_use;
+}
+
+}  // namespace barrowrun::placement
--- /dev/null
+++ b/src/placement/upkeep.cpp
@@ -0,0 +1,52 @@
+// Time passing: leases that run out, faulty machines, machines that are drained or taken.
+#include <map>
+
+#include "placement/cluster.hpp"
+#include "placement/faults.hpp"
+
+namespace barrowrun::placement {
+using wire::Sort;
+using wire::TaskState;
+
+bool Cluster::tick(TimePoint now, const std::function<TimePoint(const std::string&)>& others) {
+    bool moved = false;
+    std::map<std::string, TimePoint> by_zone;
+    auto answered = [&](const std::string& zone) {
+        auto [it, fresh] = by_zone.try_emplace(zone, acquired_);
+        if (fresh && others) it->second = std::max(acquired_, others(zone));
+        return it->second;
+    };
+    for (auto& [name, mp] : machines_) {
+        Machine& m = *mp;
+        if (!m.entries.empty() && now >= m.lease_end(rules_.lease_s, answered(m.zone))) {
+            lease_over(m, now);
+            moved = true;
+        }
+        if (m.any_live()) m.idle_since = now;
+        faults::judge(m, now, [&] {
+            return std::any_of(jobs_.begin(), jobs_.end(), [&](auto& kv) {
+                return kv.second->failed_on.contains(m.name) &&
+                       (kv.second->failed_on.size() < 3 || runs_well(*kv.second, now));
+            });
+        });
+        if (m.taken_at || m.drain) {
+            for (auto& [a, e] : m.entries) {
+                if (e.exited() || e.stop) continue;
+                Job* job = find_job(a.task.job);
+                if (!job) continue;
+                if (job->spec.checkpoint_s > 0 && e.phase == Phase::seen && e.state == TaskState::running) {
+                    if (job->spec.sort == Sort::gang)
+                        stop_gang(*job, grace_for(*job), now, "its machine goes away");
+                    else
+                        note_stop(m, a, e, grace_for(*job), now, "its machine goes away");
+                } else if (m.drain && job->spec.sort != Sort::gang) {
+                    note_stop(m, a, e, 0, now, "its machine is emptied");
+                }
+            }
+        }
+    }
+    shrink(now);
+    return moved;
+}
+
+}  // namespace barrowrun::placement
--- a/src/settings/operator_settings.cpp
+++ b/src/settings/operator_settings.cpp
@@ -18,7 +18,7 @@
     if (auto v = wire::count(given, "leader_hold_ms")) s.leader_hold = std::chrono::milliseconds(*v);
     if (auto v = wire::count(given, "promise_ms")) s.promise = std::chrono::milliseconds(*v);
     if (auto v = wire::amount(given, "idle_return_s")) s.rules.idle_return_s = *v;
-    if (auto v = wire::flag(given, "keep_leases")) s.keeps_leases = *v;
+    if (auto v = wire::flag(given, "keep_leases")) s.renews_leases = *v;
     if (auto v = wire::count(given, "headroom_min")) s.rules.headroom_min = static_cast<std::uint32_t>(*v);
     if (const auto* q = wire::find(given, "quotas")) {
         quota::Change file;
--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -121,8 +121,8 @@
     return parse_settings(read_file(path));
 }
 
-Clock::duration Settings::keep_leases() const {
-    return keeps_leases ? leases::keep_for(rules.lease_s, rules.cancel_s) : Clock::duration::zero();
+Clock::duration Settings::lease_renewal_period() const {
+    return renews_leases ? leases::renewal_period(rules.lease_s, rules.cancel_s) : Clock::duration::zero();
 }
 
 std::set<std::string> Settings::member_names() const {
--- a/src/settings/settings.hpp
+++ b/src/settings/settings.hpp
@@ -32,10 +32,10 @@
     // How far a machine's time of day may be off.
     std::chrono::milliseconds clock_error{1000};
     // Whether a node that is cut off together with workers keeps their leases for a while (src/leases).
-    bool keeps_leases = true;
+    bool renews_leases = true;
     // Other cells, and whose work may go where; absent: there are none.
     std::optional<cells::Settings> cells;
-    Clock::duration keep_leases() const;
+    Clock::duration lease_renewal_period() const;
     std::set<std::string> member_names() const;
 };
 
--- a/src/wire/messages.cpp
+++ b/src/wire/messages.cpp
@@ -234,7 +234,8 @@
     auto request = text(body, "hire"), type = text(body, "build"), zone = text(body, "yard");
     auto n = count(body, "how_many");
     auto spot = flag(body, "loaners");
-    if (!request || request->empty() || !type || !zone || !spot || !n || *n < 1 || *n > 50) return std::nullopt;
+    if (!request || request->empty() || !type || !zone || !spot || !n || *n < 1 || *n > 50)
+        return std::nullopt;
     return RentRequest{*request, *type, *zone, *spot, static_cast<int>(*n)};
 }
 
--- a/src/wire/messages.hpp
+++ b/src/wire/messages.hpp
@@ -64,7 +64,8 @@
 std::optional<Report> parse_report(const Json& body);
 Json report_json(const Report& report);
 Json commands_json(const std::vector<Command>& commands);
-// Commands as a worker reads them, from an answer to a report or a push. Nothing for what isn't a list of them.
+// Commands as a worker reads them, from an answer to a report or a push. Nothing for what isn't a list of
+// them.
 std::optional<std::vector<Command>> parse_commands(const Json& body);
 std::optional<std::uint64_t> parse_token(const Json& body);
 std::optional<std::uint64_t> parse_session(const Json& body);
--- a/src/workflow/make/expand.hpp
+++ b/src/workflow/make/expand.hpp
@@ -48,8 +48,8 @@
     std::map<std::string, Variable>& global() { return global_; }
     const std::string& dir() const { return dir_; }
 
-    std::function<void(const std::string& text, const Place& at)> on_eval;  // $(eval)
-    std::function<void(const std::string& line)> on_message;                // $(info), $(warning)
+    std::function<void(const std::string& text, const Place& at)> on_eval;      // $(eval)
+    std::function<void(const std::string& line)> on_message;                    // $(info), $(warning)
     std::vector<std::string> shell_words(const Scope* scope, const Place& at);  // SHELL and .SHELLFLAGS
 
   private:
