--- a/tests/sim/meetings_answers_test.cpp
+++ b/tests/sim/meetings_answers_test.cpp
@@ -160,8 +160,10 @@
         site.poll_all(500ms);
         site.run(4s);
         const auto old = *site.leader();
+        const auto refused = site.state().over_the_rate();
         site.freeze(old, 6s);
         site.run(20s);
+        EXPECT_LE(site.state().over_the_rate() - refused, 20u) << "seed " << seed;
         // Ever since, somebody leads nearly all the time.
         std::size_t leaderless = 0;
         for (int second = 0; second < 60; ++second) {
--- a/tests/sim/services.cpp
+++ b/tests/sim/services.cpp
@@ -94,7 +94,10 @@
     if (path == "/multi")
         if (auto* then = wire::find(request.body, "then"); then && then->is_array())
             writes = static_cast<double>(then->size());
-    if (!store_.within_rates(writes, now)) return answer({429, {{"error", "over the rate"}}});
+    if (!store_.within_rates(writes, now)) {
+        ++over_the_rate_;
+        return answer({429, {{"error", "over the rate"}}});
+    }
     const bool get = request.method == verb::get, post = request.method == verb::post;
     if (path == "/multi" && post) {
         auto result = store_.multi(request.body, request.bytes);
--- a/tests/sim/services.hpp
+++ b/tests/sim/services.hpp
@@ -23,6 +23,7 @@
     // Only transactions that hold the text are hit.
     void lose_only(std::string text) { lost_only_ = std::move(text); }
     std::uint64_t writes() const { return writes_; }
+    std::uint64_t over_the_rate() const { return over_the_rate_; }  // requests refused for that
     const lab::StateStore& store() const { return store_; }
 
   private:
@@ -40,7 +41,7 @@
     lab::StateStore store_;
     std::map<std::string, Nanos> refused_;
     Nanos out_until_{0}, slow_until_{0}, slow_by_{0}, lost_until_{0};
-    std::uint64_t lost_one_in_ = 1, writes_ = 0;
+    std::uint64_t lost_one_in_ = 1, writes_ = 0, over_the_rate_ = 0;
     bool lost_at_once_ = false;
     std::string lost_only_;
     std::optional<Nanos> late_after_;
