Read over: tests of the simulation share what stood two and three times; a function that nothing called is gone

Cause: drawn lengths of time stood in two files, the number of nodes in three, the last expectation of the fixed tests in three; is_node was unused. Every assertion is as it was.

--- a/tests/sim/faults.cpp
+++ b/tests/sim/faults.cpp
@@ -4,7 +4,6 @@
 
 namespace barrowrun::sim {
 namespace {
-constexpr std::size_t nodes = 3;
 constexpr std::size_t most_hung = 8;
 
 Nanos milliseconds_up_to(World& world, std::uint64_t most) {
@@ -18,8 +17,8 @@
     return condition();
 }
 
-bool is_node(const std::string& name) {
-    return name.starts_with("barrow-");
+Nanos draw(Site& site, double least_s, double most_s) {
+    return std::chrono::milliseconds(static_cast<long>(site.world.between(least_s, most_s) * 1000));
 }
 
 void cut_machine(Site& site, const std::string& machine, Nanos length, Fault::Kind kind) {
--- a/tests/sim/faults.hpp
+++ b/tests/sim/faults.hpp
@@ -7,6 +7,9 @@
 // Runs the site until the condition holds, for so long at most. False: it did not come about.
 [[nodiscard]] bool run_until(Site& site, Nanos most, const std::function<bool()>& condition);
 
+// A length of time between the two, in whole milliseconds, by the site's own random numbers.
+Nanos draw(Site& site, double least_s, double most_s);
+
 // No message passes between the machine and any node.
 void cut_machine(Site& site, const std::string& machine, Nanos length, Fault::Kind kind = Fault::Kind::drop);
 // The machine's reports arrive; answers and direct commands to it are lost.
@@ -33,7 +36,4 @@
 // Users repeat submissions, cancel what is over, and send jobs that can't run or lack a field.
 void odd_requests(Site& site, Nanos length);
 
-// A node's name, or a zone's part: which names belong to it.
-bool is_node(const std::string& name);
-
 }  // namespace barrowrun::sim
--- a/tests/sim/histories.cpp
+++ b/tests/sim/histories.cpp
@@ -4,6 +4,8 @@
 #include <cstdlib>
 #include <sstream>
 
+#include "sim/faults.hpp"
+
 namespace barrowrun::sim {
 
 Seeds seeds(std::uint64_t count) {
@@ -63,11 +65,6 @@
 
 namespace {
 
-// Moments and lengths, drawn.
-Nanos draw(Site& site, double least_s, double most_s) {
-    return std::chrono::milliseconds(static_cast<long>(site.world.between(least_s, most_s) * 1000));
-}
-
 std::size_t leader_of(Site& site) {
     return site.leader().value_or(0);
 }
--- a/tests/sim/meetings_answers_test.cpp
+++ b/tests/sim/meetings_answers_test.cpp
@@ -1,17 +1,11 @@
 // Meetings of docs/design/meetings.md that turn on who leads, and on what users are told.
-#include <gtest/gtest.h>
-
-#include "sim/faults.hpp"
+#include "sim/expectations.hpp"
 
 using namespace barrowrun;
 using namespace barrowrun::sim;
 
 namespace {
 
-void expect_no_rule_broken(Site& site) {
-    EXPECT_EQ(site.verdict(site.world.now()), "") << "seed " << site.options().seed;
-}
-
 // Questions at all nodes about all jobs, again and again.
 void ask_everywhere(Site& site, Nanos period, Nanos length) {
     site.world.every(period, [&site, until = site.world.now() + length] {
--- a/tests/sim/meetings_leases_test.cpp
+++ b/tests/sim/meetings_leases_test.cpp
@@ -1,8 +1,6 @@
 // Meetings of docs/design/meetings.md that turn on what may still be on a machine: leases, sessions, tokens.
 // Each scenario makes the wrong start possible: other machines have room, and the job could run there.
-#include <gtest/gtest.h>
-
-#include "sim/faults.hpp"
+#include "sim/expectations.hpp"
 
 using namespace barrowrun;
 using namespace barrowrun::sim;
@@ -27,10 +25,6 @@
     return site.live_workers().back();
 }
 
-void expect_no_rule_broken(Site& site) {
-    EXPECT_EQ(site.verdict(site.world.now()), "") << "seed " << site.options().seed;
-}
-
 bool another_leads(Site& site, std::size_t than) {
     return run_until(site, 10s, [&] { return site.leader() && *site.leader() != than; });
 }
--- a/tests/sim/meetings_records_test.cpp
+++ b/tests/sim/meetings_records_test.cpp
@@ -1,18 +1,12 @@
 // Meetings of docs/design/meetings.md that turn on records: what is written before it is sent or told, and
 // transactions that are carried out late.
-#include <gtest/gtest.h>
-
-#include "sim/faults.hpp"
+#include "sim/expectations.hpp"
 
 using namespace barrowrun;
 using namespace barrowrun::sim;
 
 namespace {
 
-void expect_no_rule_broken(Site& site) {
-    EXPECT_EQ(site.verdict(site.world.now()), "") << "seed " << site.options().seed;
-}
-
 bool runs_somewhere(Site& site, const std::string& id) {
     return run_until(site, 30s, [&] { return site.worker_running(id) != nullptr; });
 }
--- a/tests/sim/pairs.cpp
+++ b/tests/sim/pairs.cpp
@@ -9,12 +9,6 @@
 namespace barrowrun::sim {
 namespace {
 
-constexpr std::size_t nodes = 3;
-
-Nanos draw(Site& site, double least_s, double most_s) {
-    return std::chrono::milliseconds(static_cast<long>(site.world.between(least_s, most_s) * 1000));
-}
-
 Fault::Kind any_kind(World& world) {
     constexpr Fault::Kind kinds[] = {Fault::Kind::drop, Fault::Kind::hold, Fault::Kind::refuse};
     return kinds[world.random() % 3];
--- a/tests/sim/site.cpp
+++ b/tests/sim/site.cpp
@@ -11,7 +11,6 @@
 
 namespace {
 
-constexpr std::size_t nodes = 3;
 const std::string team = "crew";
 const wire::Resources machine_room{4, 0, 32};
 
--- a/tests/sim/site.hpp
+++ b/tests/sim/site.hpp
@@ -7,6 +7,8 @@
 
 namespace barrowrun::sim {
 
+inline constexpr std::size_t nodes = 3;  // controllers of every site
+
 struct SiteOptions {
     std::uint64_t seed = 1;
     std::vector<std::string> zones{"a"};  // of the nodes and the machines, in turn
