--- a/review/run_case.sh
+++ b/review/run_case.sh
@@ -1,9 +1,9 @@
 #!/usr/bin/env bash
-# run_case.sh CASE FOLDER: runs a case on loopback addresses; the stand-ins' record goes to FOLDER/record.txt.
+# run_case.sh CASE RECORD: runs a case on loopback addresses; the stand-ins write to the file RECORD.
 # Status: that of the stand-ins (0: the rule held, 1: it was broken, 2: the case could not run).
 set -u
 case_name=$1
-folder=$2
+record=$2
 review=$(cd "$(dirname "${BASH_SOURCE[0]}")" && pwd)
 cd "$review/.." || exit 2
 read -r -a controller <<< "$(sed -n 's/^run = "\(.*\)"$/\1/p' deploy/service.toml)"
@@ -23,7 +23,7 @@
 trap finish EXIT
 trap 'exit 2' INT TERM
 mkfifo "$dir/orders" || exit 2
-review/bin/site "$case_name" "$dir" "$folder/record.txt" "${TROUBLE:-1}" &
+review/bin/site "$case_name" "$dir" "$record" "${TROUBLE:-1}" &
 site=$!
 pids+=("$site")
 # The stand-ins say which controllers to start and to kill; the pipe closes when they end.
