The log names the evidence on which a leader takes a task for gone

Cause: 'attempt ... is no longer on machine ...', at the debug level alone, did not tell which of six conclusions a leader had drawn, nor from which report.

Change: each conclusion has a name (fleet::GoneEvidence). A heartbeat that proves attempts gone is logged at the default level, one line a machine, with the heartbeat's agent epoch, sequence number and fencing token and how far the start had come; a line per attempt follows at the debug level, also for expired leases and removed machines.

--- /dev/null
+++ b/src/fleet/evidence.cpp
@@ -0,0 +1,71 @@
+#include "fleet/evidence.hpp"
+
+namespace barrowrun::fleet {
+
+const char* describe(GoneEvidence evidence) {
+    switch (evidence) {
+        case GoneEvidence::later_agent_epoch:
+            return "the heartbeat is of a later agent epoch";
+        case GoneEvidence::launch_void:
+            return "its launch can't be executed any more and the heartbeat doesn't list it";
+        case GoneEvidence::worker_knows_token:
+            return "the worker knows this leader's fencing token and doesn't list it";
+        case GoneEvidence::reaped:
+            return "the worker listed it before and doesn't any more";
+        case GoneEvidence::agent_epoch_expired:
+            return "the machine's lease has expired";
+        case GoneEvidence::machine_removed:
+            return "the machine is gone";
+    }
+    return "unknown";
+}
+
+const char* phase_name(AssignmentPhase phase) {
+    switch (phase) {
+        case AssignmentPhase::recording:
+            return "recording";
+        case AssignmentPhase::ready:
+            return "ready";
+        case AssignmentPhase::pushed:
+            return "pushed";
+        case AssignmentPhase::replied:
+            return "replied";
+        case AssignmentPhase::recovered:
+            return "recovered";
+        case AssignmentPhase::confirmed:
+            return "confirmed";
+    }
+    return "unknown";
+}
+
+std::optional<GoneEvidence> evidence_of_absence(const Assignment& assignment,
+                                                const wire::WorkerHeartbeat& heartbeat,
+                                                bool from_heartbeat_route, std::uint64_t own_fencing_token) {
+    const auto if_settled = [&](GoneEvidence evidence) -> std::optional<GoneEvidence> {
+        if (!assignment.launch_settled(heartbeat.fencing_token)) return std::nullopt;
+        return evidence;
+    };
+    switch (assignment.phase) {
+        case AssignmentPhase::recording:
+        case AssignmentPhase::ready:
+            return std::nullopt;
+        case AssignmentPhase::pushed:
+            return if_settled(GoneEvidence::launch_void);
+        case AssignmentPhase::replied:
+            // The worker has one heartbeat in flight at a time: the next one shows whether the response to
+            // the previous one was received or dropped.
+            if (!from_heartbeat_route || heartbeat.seq <= assignment.reply_seq) return std::nullopt;
+            return if_settled(GoneEvidence::launch_void);
+        case AssignmentPhase::recovered:
+            // Launches of the previous leader are void once the worker has seen this leader's fencing token.
+            if (heartbeat.fencing_token < own_fencing_token) return std::nullopt;
+            return GoneEvidence::worker_knows_token;
+        case AssignmentPhase::confirmed:
+            // Listed before and missing now: the attempt was reaped or ended with its agent epoch. A delayed
+            // push could still start it again.
+            return if_settled(GoneEvidence::reaped);
+    }
+    return std::nullopt;
+}
+
+}  // namespace barrowrun::fleet
--- a/src/fleet/machine.cpp
+++ b/src/fleet/machine.cpp
@@ -44,9 +44,9 @@
                        [&](auto& kv) { return kv.first.task == task; });
 }
 
-void Machine::clear(std::vector<AssignmentChange>& changes) {
+void Machine::clear(GoneEvidence evidence, std::vector<AssignmentChange>& changes) {
     for (auto& [attempt, assignment] : assignments)
-        if (!assignment.exited()) changes.push_back({AssignmentChange::lost, attempt, assignment});
+        if (!assignment.exited()) changes.push_back({AssignmentChange::lost, attempt, assignment, evidence});
     assignments.clear();
     images.clear();
     fetching_.clear();
@@ -61,39 +61,6 @@
 }
 
 namespace {
-// Whether no push of the launch can be executed any more. A push without an answer may still be executed as
-// long as the worker has seen no token higher than that of the push.
-bool launch_settled(const Assignment& assignment, std::uint64_t worker_token) {
-    return !assignment.in_flight &&
-           (!assignment.launch_unanswered || worker_token > assignment.sent_fencing_token);
-}
-
-// Whether a heartbeat that doesn't list the attempt proves that the attempt is not on the machine and won't
-// start there.
-bool proven_gone(const Assignment& assignment, const wire::WorkerHeartbeat& heartbeat,
-                 bool from_heartbeat_route, std::uint64_t own_fencing_token) {
-    switch (assignment.phase) {
-        case AssignmentPhase::recording:
-        case AssignmentPhase::ready:
-            return false;
-        case AssignmentPhase::pushed:
-            return launch_settled(assignment, heartbeat.fencing_token);
-        case AssignmentPhase::replied:
-            // The worker has one heartbeat in flight at a time: the next one shows whether the response to
-            // the previous one was received or dropped.
-            return from_heartbeat_route && heartbeat.seq > assignment.reply_seq &&
-                   launch_settled(assignment, heartbeat.fencing_token);
-        case AssignmentPhase::recovered:
-            // Launches of the previous leader are void once the worker has seen this leader's fencing token.
-            return heartbeat.fencing_token >= own_fencing_token;
-        case AssignmentPhase::confirmed:
-            // Listed before and missing now: the attempt was reaped or ended with its agent epoch. A delayed
-            // push could still start it again.
-            return launch_settled(assignment, heartbeat.fencing_token);
-    }
-    return false;
-}
-
 // Updates an assignment from the status that the worker reports.
 void update(Assignment& assignment, bool is_new, const wire::TaskStatus& status, TimePoint now,
             std::vector<AssignmentChange>& changes) {
@@ -101,7 +68,7 @@
     const bool was_exited = assignment.exited();
     const bool was_confirmed = assignment.phase == AssignmentPhase::confirmed;
     const bool was_running = was_confirmed && assignment.started_at != TimePoint{};
-    if (!was_confirmed) changes.push_back({AssignmentChange::confirmed, status.attempt, assignment});
+    if (!was_confirmed) changes.push_back({AssignmentChange::confirmed, status.attempt, assignment, {}});
     assignment.phase = AssignmentPhase::confirmed;
     assignment.state = status.state;
     assignment.cause = status.cause;
@@ -109,36 +76,35 @@
     const bool runs = status.state == TaskState::running || status.state == TaskState::saving;
     if (!was_running && runs) {
         assignment.started_at = now;
-        changes.push_back({AssignmentChange::started, status.attempt, assignment});
+        changes.push_back({AssignmentChange::started, status.attempt, assignment, {}});
     }
     if (!was_exited && status.state == TaskState::exited) {
         assignment.ended_at = now;
-        changes.push_back({AssignmentChange::ended, status.attempt, assignment});
+        changes.push_back({AssignmentChange::ended, status.attempt, assignment, {}});
     }
 }
 
 using Assignments = std::unordered_map<Attempt, Assignment, wire::AttemptHash>;
-
-// Removes the assignments for which `is_gone` holds; those that had not exited are reported as lost.
-template <class Predicate>
-void remove_if(Assignments& assignments, std::vector<AssignmentChange>& changes, Predicate is_gone) {
-    std::vector<Attempt> gone;
+using Evidence = std::optional<GoneEvidence>;
+
+// Removes the assignments for which `find_evidence` gives evidence; those that had not exited are reported as
+// lost.
+template <class FindEvidence>
+void remove_gone(Assignments& assignments, std::vector<AssignmentChange>& changes,
+                 FindEvidence find_evidence) {
+    std::vector<std::pair<Attempt, GoneEvidence>> gone;
     for (auto& [attempt, assignment] : assignments)
-        if (is_gone(attempt, assignment)) gone.push_back(attempt);
-    for (auto& attempt : gone) {
+        if (Evidence evidence = find_evidence(attempt, assignment)) gone.emplace_back(attempt, *evidence);
+    for (auto& [attempt, evidence] : gone) {
         auto node = assignments.extract(attempt);
-        if (!node.mapped().exited()) changes.push_back({AssignmentChange::lost, attempt, node.mapped()});
+        if (!node.mapped().exited())
+            changes.push_back({AssignmentChange::lost, attempt, node.mapped(), evidence});
     }
 }
 
-// Whether the attempt may be on the machine or may still start there.
-bool may_have_been_sent(const Assignment& assignment) {
-    return assignment.phase != AssignmentPhase::recording && assignment.phase != AssignmentPhase::ready;
-}
-
 bool kill_is_due(const Assignment& assignment, TimePoint now) {
     if (!assignment.stop_requested || assignment.exited() || now < assignment.stop_at) return false;
-    if (!may_have_been_sent(assignment) && !assignment.launch_unanswered) return false;
+    if (!assignment.may_have_been_sent() && !assignment.launch_unanswered) return false;
     // A task that is saving its checkpoint exits within its grace period, without another kill.
     const bool saving =
         assignment.phase == AssignmentPhase::confirmed && assignment.state == TaskState::saving;
@@ -166,8 +132,10 @@
         // A higher agent epoch proves that all attempts of the earlier one are gone, and voids launches in
         // flight, which name the earlier epoch. Before this leader's first heartbeat from the machine no
         // epoch is known: its assignments are checked one by one below.
-        remove_if(assignments, changes,
-                  [](auto&, auto& assignment) { return may_have_been_sent(assignment); });
+        remove_gone(assignments, changes, [](auto&, auto& assignment) -> Evidence {
+            if (!assignment.may_have_been_sent()) return std::nullopt;
+            return GoneEvidence::later_agent_epoch;
+        });
         images.clear();
         fetching_.clear();
     }
@@ -192,9 +160,9 @@
         auto [it, is_new] = assignments.try_emplace(status.attempt);
         update(it->second, is_new, status, now, changes);
     }
-    remove_if(assignments, changes, [&](auto& attempt, auto& assignment) {
-        return !listed.contains(attempt) &&
-               proven_gone(assignment, heartbeat, from_heartbeat_route, own_fencing_token);
+    remove_gone(assignments, changes, [&](auto& attempt, auto& assignment) -> Evidence {
+        if (listed.contains(attempt)) return std::nullopt;
+        return evidence_of_absence(assignment, heartbeat, from_heartbeat_route, own_fencing_token);
     });
     return true;
 }
@@ -208,7 +176,7 @@
             out.push_back({wire::Verb::kill, attempt, assignment.grace_s});
         } else if (assignment.exited()) {
             // A delayed launch would start a reaped attempt again: reap only when no launch can be in flight.
-            if (launch_settled(assignment, fencing_token_seen) && may_reap(attempt, assignment))
+            if (assignment.launch_settled(fencing_token_seen) && may_reap(attempt, assignment))
                 out.push_back({wire::Verb::reap, attempt, 0});
         } else if (launches && launch_is_due(assignment)) {
             out.push_back({wire::Verb::launch, attempt, 0});
--- a/src/fleet/machine.hpp
+++ b/src/fleet/machine.hpp
@@ -1,5 +1,5 @@
 #pragma once
-// State of one machine: attempts that may be on it, and the evidence that an attempt is gone.
+// State of one machine: attempts that may be on it, and what its heartbeats change.
 #include <list>
 #include <memory>
 #include <optional>
@@ -8,61 +8,17 @@
 #include <vector>
 
 #include "base/clock.hpp"
+#include "fleet/evidence.hpp"
 #include "state/records.hpp"
 #include "wire/messages.hpp"
 
 namespace barrowrun::fleet {
 
-// Progress of the start of an attempt.
-enum class AssignmentPhase {
-    recording,  // its record is being written; no launch was sent
-    ready,      // recorded; its launch can be sent
-    pushed,     // launch sent to /commands; the answer is pending or was lost
-    replied,    // launch sent in the response to a heartbeat
-    recovered,  // recorded by a previous leader; it may run, may still start, or be gone
-    confirmed,  // the worker has reported it
-};
-
-struct Assignment {
-    AssignmentPhase phase = AssignmentPhase::recording;
-    std::uint64_t sent_fencing_token = 0;  // highest token of a launch that may still be delivered
-    bool in_flight = false;                // a push with the launch is neither answered nor timed out
-    bool launch_unanswered = false;  // a push got no answer; the worker may execute it at any later time
-    std::uint64_t reply_seq = 0;
-    wire::TaskState state = wire::TaskState::fetching;
-    wire::Cause cause = wire::Cause::none;
-    bool checkpointed = false;
-    bool stop_requested = false;
-    double grace_s = 0;
-    TimePoint stop_at{}, stop_sent{};
-    TimePoint placed_at{};   // when the scheduler placed it
-    TimePoint started_at{};  // when a heartbeat first showed it running
-    TimePoint ended_at{};
-    wire::Resources need;
-    std::uint32_t account = ~0u;  // node of the quota tree that is charged; ~0u: none
-    // Copied from the job, so that decisions about a machine need no look-up of jobs.
-    wire::Priority priority = wire::Priority::low;
-    bool preemptible = false;  // not a service replica: may be stopped for tasks of higher priority
-    bool service = false;
-    bool checkpoints = false;
-    bool exited() const { return phase == AssignmentPhase::confirmed && state == wire::TaskState::exited; }
-    // Whether the attempt may be stopped for a task of priority `higher`.
-    bool preemptible_by(wire::Priority higher) const {
-        return !exited() && !stop_requested && preemptible && priority > higher;
-    }
-};
-
 // Whether at least 30 % of the other machines were heard recently; if not, the leader itself may be cut off.
 inline bool hears_enough_of_fleet(std::size_t heard_just_now, std::size_t others) {
     return others == 0 ? false : heard_just_now * 10 >= others * 3;
 }
 
-struct AssignmentChange {
-    enum Kind { confirmed, started, ended, lost } kind;
-    wire::Attempt attempt;
-    Assignment assignment;  // last known state
-};
-
 class Machine {
   public:
     std::string name, address, type, zone;
@@ -113,7 +69,7 @@
                          std::uint64_t own_fencing_token, TimePoint now,
                          std::vector<AssignmentChange>& changes);
     // Drops all assignments, because the machine is proven empty: it is gone or its lease has expired.
-    void clear(std::vector<AssignmentChange>& changes);
+    void clear(GoneEvidence evidence, std::vector<AssignmentChange>& changes);
     // When the machine's lease has certainly expired, unless this leader answers another heartbeat.
     // `acquired`: until when previous leaders may have answered. An agent epoch starts with its own lease.
     // The leader may learn of it, and start tasks in it, by an answer of /commands or /inspect alone: counted
--- a/src/placement/attempts.cpp
+++ b/src/placement/attempts.cpp
@@ -1,4 +1,4 @@
-// Life cycle of machines and of the attempts on them: heartbeats, commands, stops and ends.
+// Life cycle of machines and of the attempts on them: heartbeats, stops and ends.
 #include <spdlog/spdlog.h>
 
 #include <algorithm>
@@ -8,6 +8,8 @@
 #include "placement/failure_attribution.hpp"
 
 namespace barrowrun::placement {
+using fleet::AssignmentChange;
+using fleet::GoneEvidence;
 namespace {
 // Bounds the memory for names of removed machines; several times the size of a fleet.
 constexpr std::size_t max_removed_names = 50'000;
@@ -16,10 +18,6 @@
 constexpr int max_retry_doublings = 8;
 // Delay after a worker refused a start; the attempts that it still holds may have ended by then.
 constexpr double refused_retry_s = 1;
-// Responses and heartbeats are limited to 64 KiB each; more commands would not fit.
-constexpr std::size_t max_commands_per_push = 300;
-// A launch push without a reply is settled by a new fencing token after this, unless a heartbeat settles it.
-constexpr double unanswered_launch_s = 3;
 
 // Back-off by consecutive failures of the job, so that a job that always fails does not occupy machines.
 double retry_delay_s(int consecutive_errors) {
@@ -27,8 +25,31 @@
     return std::min(max_retry_s,
                     first_retry_s * std::pow(2.0, std::min(consecutive_errors, max_retry_doublings)));
 }
+
+// Logs on which evidence the attempts are taken for gone.
+void log_lost_attempts(const Machine& machine, const std::vector<AssignmentChange>& changes) {
+    for (auto& change : changes)
+        if (change.evidence)
+            spdlog::debug("task {}: attempt {} ({}) is gone from machine {}: {}", change.attempt.task.str(),
+                          change.attempt.number, fleet::phase_name(change.assignment.phase), machine.name,
+                          fleet::describe(*change.evidence));
+}
+
+// The same for a heartbeat that proves it, with a line at the default log level that names the heartbeat.
+void log_lost_attempts(const Machine& machine, const wire::WorkerHeartbeat& heartbeat,
+                       const std::vector<AssignmentChange>& changes) {
+    const auto is_lost = [](auto& change) { return change.evidence.has_value(); };
+    const auto first = std::find_if(changes.begin(), changes.end(), is_lost);
+    if (first == changes.end()) return;
+    spdlog::info(
+        "machine {}: {} tasks are gone by its heartbeat (agent epoch {}, sequence number {}, fencing token "
+        "{}), the first is {} ({}): {}",
+        machine.name, std::count_if(first, changes.end(), is_lost), heartbeat.agent_epoch, heartbeat.seq,
+        heartbeat.fencing_token, first->attempt.task.str(), fleet::phase_name(first->assignment.phase),
+        fleet::describe(*first->evidence));
+    log_lost_attempts(machine, changes);
+}
 }  // namespace
-using fleet::AssignmentChange;
 using wire::Cause;
 using wire::JobKind;
 using wire::Priority;
@@ -95,11 +116,12 @@
     Machine& m = *it->second;
     std::vector<AssignmentChange> changes;
     std::size_t n = m.live();
-    m.clear(changes);
+    m.clear(GoneEvidence::machine_removed, changes);
     if (n)
         spdlog::info("machine {}: removed ({}), {} tasks are rescheduled", name, proof, n);
     else
         spdlog::info("machine {}: removed ({})", name, proof);
+    log_lost_attempts(m, changes);
     apply_changes(m, changes, now);
     // Not written at once: a record may name a removed machine, but it must not omit an existing one.
     shards_.remove_machine(name);
@@ -111,8 +133,9 @@
     // The worker has killed and forgotten all its tasks; launches in flight name its previous agent epoch.
     std::vector<AssignmentChange> changes;
     std::size_t n = m.live();
-    m.clear(changes);
+    m.clear(GoneEvidence::agent_epoch_expired, changes);
     if (n) spdlog::info("machine {}: lease expired, {} tasks are rescheduled", m.name, n);
+    log_lost_attempts(m, changes);
     apply_changes(m, changes, now);
 }
 
@@ -146,6 +169,7 @@
         // The address must be recorded: a successor queries every recorded worker.
         if (m.address != old_address) mark_machine_changed(m.name);
     }
+    log_lost_attempts(m, heartbeat, changes);
     apply_changes(m, changes, now);
     reconcile_reported(m, now);
     if (m.has_live()) m.idle_since = now;
@@ -185,10 +209,6 @@
                 break;
             case AssignmentChange::lost:
                 if (!job) break;
-                if (c.assignment.phase != AssignmentPhase::recording &&
-                    c.assignment.phase != AssignmentPhase::ready)
-                    spdlog::debug("task {}: attempt {} is no longer on machine {}", c.attempt.task.str(),
-                                  c.attempt.number, m.name);
                 unplace(*job, index, m.name, c.attempt.number);
                 if (job->spec.kind == JobKind::gang && !job->finished())
                     stop_gang(*job, 0, now, "a task of its gang was lost");
@@ -318,83 +338,4 @@
             }
 }
 
-bool Cluster::may_reap(const Attempt& a, const Assignment& e) const {
-    if (has_unrecorded_error(a, e)) return false;
-    if (e.cause != Cause::done) return true;
-    auto it = jobs_.find(a.task.job);
-    // A result is reaped only once it is recorded.
-    return it == jobs_.end() || it->second->cancelled || it->second->durable_done.contains(a.task.index);
-}
-
-// Drops assignments that are to be stopped and whose launch was never sent.
-void Cluster::drop_unsent_starts(Machine& m) {
-    std::vector<Attempt> dropped;
-    for (auto& [a, e] : m.assignments)
-        if (e.stop_requested && !e.launch_unanswered && !e.in_flight &&
-            (e.phase == AssignmentPhase::recording || e.phase == AssignmentPhase::ready))
-            dropped.push_back(a);
-    for (auto& a : dropped) {
-        release_charge(m.assignments.at(a));
-        m.assignments.erase(a);
-        capacity_index_.mark_changed(m);
-        if (Job* job = find_job(a.task.job)) unplace(*job, a.task.index, m.name, a.number);
-    }
-}
-
-std::vector<wire::Command> Cluster::reply_commands(Machine& m, TimePoint now, bool all) {
-    drop_unsent_starts(m);
-    // Launches are pushed to workers whose address answers; only the other workers get them in a response.
-    auto out =
-        m.commands(now, all && !m.push_reachable, [&](auto& a, auto& e) { return all && may_reap(a, e); });
-    for (auto& c : out)
-        if (c.verb == wire::Verb::launch) {
-            Assignment& e = m.assignments.at(c.attempt);
-            e.phase = AssignmentPhase::replied;
-            e.reply_seq = m.seq;
-        }
-    return out;
-}
-
-std::vector<wire::Command> Cluster::push_commands(Machine& m, TimePoint now) {
-    drop_unsent_starts(m);
-    auto out = m.commands(now, true, [this](auto& a, auto& e) { return may_reap(a, e); });
-    if (out.size() > max_commands_per_push) out.resize(max_commands_per_push);
-    for (auto& c : out)
-        if (c.verb == wire::Verb::launch) {
-            Assignment& e = m.assignments.at(c.attempt);
-            e.phase = AssignmentPhase::pushed;
-            e.in_flight = true;
-            e.sent_fencing_token = fencing_token_;
-        }
-    return out;
-}
-
-void Cluster::push_answered(Machine& m, const std::vector<wire::Command>& sent, std::uint64_t fencing_token,
-                            bool executed, bool may_execute, TimePoint) {
-    for (auto& c : sent) {
-        if (c.verb != wire::Verb::launch) continue;
-        auto it = m.assignments.find(c.attempt);
-        if (it == m.assignments.end()) continue;
-        Assignment& e = it->second;
-        e.in_flight = false;
-        if (executed) continue;  // settled by the heartbeat in the reply
-        if (may_execute) {
-            e.launch_unanswered = true;
-            e.sent_fencing_token = std::max(e.sent_fencing_token, fencing_token);
-        } else if (e.phase == AssignmentPhase::pushed && !e.launch_unanswered) {
-            e.phase = AssignmentPhase::ready;
-        }
-    }
-}
-
-bool Cluster::has_unanswered_launch(TimePoint now) const {
-    for (auto& [name, m] : machines_)
-        for (auto& [a, e] : m->assignments)
-            if (e.launch_unanswered && e.sent_fencing_token >= fencing_token_ &&
-                m->fencing_token_seen <= e.sent_fencing_token &&
-                now - e.placed_at > secs(unanswered_launch_s))
-                return true;
-    return false;
-}
-
 }  // namespace barrowrun::placement
