A heartbeat's agent epoch is compared with the epoch in which an attempt was started

What callers saw: a task ran on two machines (ran_twice) after a change of leader.

Cause: Machine::apply_heartbeat took the step from one agent epoch to a later one for the end of everything that may have been sent to the machine. The earlier epoch was only the last one that this leader had happened to hear of. That is proof for attempts that were sent or listed in that epoch. Of an attempt that is known from a predecessor's record alone the leader doesn't know the epoch: the predecessor had started it in the later epoch, after the old report of that epoch was sent.

Change: each attempt keeps the one agent epoch in which it may be on its machine: that of the launches sent for it, or of the heartbeat that listed it; unknown for a predecessor's start. evidence_of_absence, which already decided all else, compares the heartbeat's epoch with it, attempt by attempt. No other rule changes. It works because launches name the epoch for which they are meant and a leader sends an attempt's launch in one epoch only, while an old heartbeat, whatever was heard before it, proves nothing about a later time.

--- a/src/fleet/evidence.cpp
+++ b/src/fleet/evidence.cpp
@@ -45,6 +45,12 @@
         if (!assignment.launch_settled(heartbeat.fencing_token)) return std::nullopt;
         return evidence;
     };
+    if (!assignment.may_have_been_sent()) return std::nullopt;
+    // An agent epoch ends with all its attempts, and launches name the epoch for which they are meant.
+    // Whether this leader had heard of an earlier epoch before is no evidence: the heartbeat may be old, and
+    // a previous leader may have started the attempt in the heartbeat's epoch, after the heartbeat was sent.
+    if (assignment.agent_epoch && heartbeat.agent_epoch > *assignment.agent_epoch)
+        return GoneEvidence::later_agent_epoch;
     switch (assignment.phase) {
         case AssignmentPhase::recording:
         case AssignmentPhase::ready:
--- a/src/fleet/machine.cpp
+++ b/src/fleet/machine.cpp
@@ -62,14 +62,15 @@
 
 namespace {
 // Updates an assignment from the status that the worker reports.
-void update(Assignment& assignment, bool is_new, const wire::TaskStatus& status, TimePoint now,
-            std::vector<AssignmentChange>& changes) {
+void update(Assignment& assignment, bool is_new, const wire::TaskStatus& status, std::uint64_t agent_epoch,
+            TimePoint now, std::vector<AssignmentChange>& changes) {
     if (is_new) assignment.placed_at = now;
     const bool was_exited = assignment.exited();
     const bool was_confirmed = assignment.phase == AssignmentPhase::confirmed;
     const bool was_running = was_confirmed && assignment.started_at != TimePoint{};
     if (!was_confirmed) changes.push_back({AssignmentChange::confirmed, status.attempt, assignment, {}});
     assignment.phase = AssignmentPhase::confirmed;
+    assignment.agent_epoch = agent_epoch;
     assignment.state = status.state;
     assignment.cause = status.cause;
     assignment.checkpointed = status.checkpointed;
@@ -129,13 +130,6 @@
                               std::vector<AssignmentChange>& changes) {
     if (up && std::pair(heartbeat.agent_epoch, heartbeat.seq) <= std::pair(agent_epoch, seq)) return false;
     if (up && heartbeat.agent_epoch > agent_epoch) {
-        // A higher agent epoch proves that all attempts of the earlier one are gone, and voids launches in
-        // flight, which name the earlier epoch. Before this leader's first heartbeat from the machine no
-        // epoch is known: its assignments are checked one by one below.
-        remove_gone(assignments, changes, [](auto&, auto& assignment) -> Evidence {
-            if (!assignment.may_have_been_sent()) return std::nullopt;
-            return GoneEvidence::later_agent_epoch;
-        });
         images.clear();
         fetching_.clear();
     }
@@ -158,7 +152,7 @@
     for (auto& status : heartbeat.tasks) {
         listed.insert(status.attempt);
         auto [it, is_new] = assignments.try_emplace(status.attempt);
-        update(it->second, is_new, status, now, changes);
+        update(it->second, is_new, status, agent_epoch, now, changes);
     }
     remove_gone(assignments, changes, [&](auto& attempt, auto& assignment) -> Evidence {
         if (listed.contains(attempt)) return std::nullopt;
--- a/src/placement/commands.cpp
+++ b/src/placement/commands.cpp
@@ -44,6 +44,7 @@
             Assignment& e = m.assignments.at(c.attempt);
             e.phase = AssignmentPhase::replied;
             e.reply_seq = m.seq;
+            e.agent_epoch = m.agent_epoch;
         }
     return out;
 }
@@ -58,6 +59,7 @@
             e.phase = AssignmentPhase::pushed;
             e.in_flight = true;
             e.sent_fencing_token = fencing_token_;
+            e.agent_epoch = m.agent_epoch;
         }
     return out;
 }
