The simulation draws old heartbeats of several agent epochs for a new leader

Change: workers keep what they sent; deliver_old_reports has two to four heartbeats of any of a machine's agent epochs arrive a moment apart at all nodes. The pairs draw as before.

--- a/tests/sim/faults.cpp
+++ b/tests/sim/faults.cpp
@@ -88,6 +88,31 @@
         });
 }
 
+void deliver_old_reports(Site& site, const Worker& worker, std::size_t count) {
+    auto& w = site.world;
+    const auto& sent = worker.sent_heartbeats();
+    if (sent.empty()) return;
+    // Each agent epoch is as likely as the others, however long it lasted.
+    std::vector<std::size_t> chosen;
+    for (std::size_t i = 0; i < count; ++i) {
+        const auto epoch = 1 + w.random() % worker.agent_epoch();
+        std::vector<std::size_t> of_epoch;
+        for (std::size_t k = 0; k < sent.size(); ++k)
+            if (sent[k].agent_epoch == epoch) of_epoch.push_back(k);
+        if (!of_epoch.empty()) chosen.push_back(of_epoch[w.random() % of_epoch.size()]);
+    }
+    if (!w.one_in(4)) std::sort(chosen.begin(), chosen.end());
+    Nanos delay{0};
+    for (auto k : chosen) {
+        site.world.after(delay, [&site, name = worker.name(), k] {
+            const auto found = site.workers().find(name);
+            if (found == site.workers().end()) return;
+            Worker::deliver_copy(site.world, *found->second, found->second->sent_heartbeats()[k].body);
+        });
+        delay += milliseconds_up_to(w, 400);
+    }
+}
+
 void delay_commands(Site& site, std::uint64_t one_in, Nanos length) {
     for (auto* worker : site.live_workers()) worker->delay_commands(one_in, length);
 }
--- a/tests/sim/faults.hpp
+++ b/tests/sim/faults.hpp
@@ -31,6 +31,9 @@
 void cancel_now(Site& site, std::size_t count, Nanos hang = Nanos{0});
 // Copies of one in so many reports arrive again, at every node, after 2 s to well over a lease.
 void repeat_reports(Site& site, std::uint64_t one_in, Nanos length);
+// So many of the machine's earlier heartbeats arrive again, at every node, a moment apart: of any of its
+// agent epochs, mostly in the order in which they were sent.
+void deliver_old_reports(Site& site, const Worker& worker, std::size_t count);
 // Direct commands to all machines: one in so many is carried out late, and not answered.
 void delay_commands(Site& site, std::uint64_t one_in, Nanos length);
 // Users repeat submissions, cancel what is over, and send jobs that can't run or lack a field.
--- a/tests/sim/pairs.cpp
+++ b/tests/sim/pairs.cpp
@@ -52,9 +52,6 @@
     std::function<void(Site&)> begin;
 };
 
-// Each lasts for less than `longest_trouble`.
-constexpr std::chrono::seconds longest_trouble{45};
-
 const std::vector<Trouble>& troubles() {
     static const std::vector<Trouble> all{
         {"end_leader", [](Site& s) { s.kill(leader_or_any(s), draw(s, 0.1, 6)); }},
@@ -190,12 +187,7 @@
         const auto count = 2 + w.random() % 2;
         for (std::size_t i = 0; i < count; ++i) {
             await_moment(site);
-            const auto& trouble = troubles()[w.random() % troubles().size()];
-            if (!asked_for(trouble.name)) continue;
-            if (std::getenv("SIM_LOG"))
-                std::fprintf(stderr, "%9.3f ---- %s\n", static_cast<double>(w.now().count()) / 1e9,
-                             trouble.name);
-            trouble.begin(site);
+            begin_any_trouble(site);
         }
         site.run(draw(site, 4, 16));
     }
@@ -208,6 +200,15 @@
 
 }  // namespace
 
+void begin_any_trouble(Site& site) {
+    auto& w = site.world;
+    const auto& trouble = troubles()[w.random() % troubles().size()];
+    if (!asked_for(trouble.name)) return;
+    if (std::getenv("SIM_LOG"))
+        std::fprintf(stderr, "%9.3f ---- %s\n", static_cast<double>(w.now().count()) / 1e9, trouble.name);
+    trouble.begin(site);
+}
+
 Drawn pairs(std::uint64_t seed) {
     return {any_site(seed), play_pairs};
 }
--- a/tests/sim/pairs.hpp
+++ b/tests/sim/pairs.hpp
@@ -8,4 +8,8 @@
 // SIM_TROUBLES="outage freeze" leaves out all other troubles, to shorten a history that failed.
 Drawn pairs(std::uint64_t seed);
 
+// Begins one of the troubles, all of which are over after `longest_trouble`.
+inline constexpr std::chrono::seconds longest_trouble{45};
+void begin_any_trouble(Site& site);
+
 }  // namespace barrowrun::sim
--- a/tests/sim/worker.hpp
+++ b/tests/sim/worker.hpp
@@ -41,6 +41,14 @@
         copies_one_in_ = one_in, copies_until_ = world_.now() + length, copies_ = std::move(copies);
     }
     std::uint64_t agent_epoch() const { return agent_epoch_; }
+    // Heartbeats that it has sent, in this order, also those that got lost.
+    struct SentHeartbeat {
+        std::uint64_t agent_epoch;
+        Json body;
+    };
+    const std::vector<SentHeartbeat>& sent_heartbeats() const { return sent_heartbeats_; }
+    // The copy arrives at every node.
+    static void deliver_copy(World& world, const Worker& sender, const Json& body);
 
   private:
     struct Task {
@@ -77,6 +85,7 @@
     Nanos lease_from_, next_, last_sent_{-1s}, fencing_token_told_{-1000s}, hung_until_{0}, copies_until_{0},
         late_until_{0};
     Copies copies_;
+    std::vector<SentHeartbeat> sent_heartbeats_;
     std::map<wire::Attempt, Task> tasks_;
     std::set<wire::TaskId> results_;
     std::shared_ptr<Worker*> self_;              // for what comes back after its end
