The zone test moves the lead out of the zone for certain before it cuts it

Cause: the test wants the leader outside of the zone that it cuts, and ended barrow-1 once per try, six tries. A node that ended is back at once, gives up its earlier process's lease and may win the election again.

Change: a try ends the node 16 times in 4 s, so that others win meanwhile. Preparation alone; all checks are as they were.

--- a/tests/site/zone.sh
+++ b/tests/site/zone.sh
@@ -29,7 +29,9 @@
 for _ in $(seq 6); do
     where=$("$lab" fault hang leader --for 0.01 | grep -o 'barrow-[0-9]')
     [ "$where" != barrow-1 ] && break
-    "$lab" fault kill barrow-1 > /dev/null; sleep 4
+    # A node that ended once is back at once, gives up the lease of its earlier process and may win the next election.
+    for _ in $(seq 16); do "$lab" fault kill barrow-1 > /dev/null; sleep 0.25; done
+    sleep 4
 done
 [ "$where" != barrow-1 ] || say "the lead did not leave the zone"
 sleep 3 # the nodes have heard their leader
