--- a/src/fleet/assignment.hpp
+++ b/src/fleet/assignment.hpp
@@ -18,7 +18,6 @@
     recovered,  // recorded by a previous leader; it may run, may still start, or be gone
     confirmed,  // the worker has reported it
 };
-
 const char* phase_name(AssignmentPhase phase);
 
 struct Assignment {
--- a/src/fleet/evidence.cpp
+++ b/src/fleet/evidence.cpp
@@ -20,24 +20,6 @@
     return "unknown";
 }
 
-const char* phase_name(AssignmentPhase phase) {
-    switch (phase) {
-        case AssignmentPhase::recording:
-            return "recording";
-        case AssignmentPhase::ready:
-            return "ready";
-        case AssignmentPhase::pushed:
-            return "pushed";
-        case AssignmentPhase::replied:
-            return "replied";
-        case AssignmentPhase::recovered:
-            return "recovered";
-        case AssignmentPhase::confirmed:
-            return "confirmed";
-    }
-    return "unknown";
-}
-
 std::optional<GoneEvidence> evidence_of_absence(const Assignment& assignment,
                                                 const wire::WorkerHeartbeat& heartbeat,
                                                 bool from_heartbeat_route, std::uint64_t own_fencing_token) {
@@ -45,11 +27,11 @@
         if (!assignment.launch_settled(heartbeat.fencing_token)) return std::nullopt;
         return evidence;
     };
-    if (!assignment.may_have_been_sent()) return std::nullopt;
     // An agent epoch ends with all its attempts, and launches name the epoch for which they are meant.
     // Whether this leader had heard of an earlier epoch before is no evidence: the heartbeat may be old, and
     // a previous leader may have started the attempt in the heartbeat's epoch, after the heartbeat was sent.
-    if (assignment.agent_epoch && heartbeat.agent_epoch > *assignment.agent_epoch)
+    if (assignment.may_have_been_sent() && assignment.agent_epoch &&
+        heartbeat.agent_epoch > *assignment.agent_epoch)
         return GoneEvidence::later_agent_epoch;
     switch (assignment.phase) {
         case AssignmentPhase::recording:
@@ -67,8 +49,8 @@
             if (heartbeat.fencing_token < own_fencing_token) return std::nullopt;
             return GoneEvidence::worker_knows_token;
         case AssignmentPhase::confirmed:
-            // Listed before and missing now: the attempt was reaped or ended with its agent epoch. A delayed
-            // push could still start it again.
+            // Listed before and missing now in the same agent epoch. A delayed push could still start it
+            // again.
             return if_settled(GoneEvidence::reaped);
     }
     return std::nullopt;
--- a/src/fleet/evidence.hpp
+++ b/src/fleet/evidence.hpp
@@ -9,7 +9,7 @@
 
 // Why an attempt that was not reported as exited is known to be gone.
 enum class GoneEvidence {
-    later_agent_epoch,    // a heartbeat of a later agent epoch than the only one in which it may have run
+    later_agent_epoch,    // a heartbeat of a later agent epoch than the last one in which it may run
     launch_void,          // no launch of it can be executed any more, and a heartbeat doesn't list it
     worker_knows_token,   // the worker has seen this leader's fencing token, and doesn't list it
     reaped,               // the worker listed it before, and doesn't any more
--- a/src/fleet/machine.cpp
+++ b/src/fleet/machine.cpp
@@ -115,24 +115,6 @@
     }
 }
 
-using Assignments = std::unordered_map<Attempt, Assignment, wire::AttemptHash>;
-using Evidence = std::optional<GoneEvidence>;
-
-// Removes the assignments for which `find_evidence` gives evidence; those that had not exited are reported as
-// lost.
-template <class FindEvidence>
-void remove_gone(Assignments& assignments, std::vector<AssignmentChange>& changes,
-                 FindEvidence find_evidence) {
-    std::vector<std::pair<Attempt, GoneEvidence>> gone;
-    for (auto& [attempt, assignment] : assignments)
-        if (Evidence evidence = find_evidence(attempt, assignment)) gone.emplace_back(attempt, *evidence);
-    for (auto& [attempt, evidence] : gone) {
-        auto node = assignments.extract(attempt);
-        if (!node.mapped().exited())
-            changes.push_back({AssignmentChange::lost, attempt, node.mapped(), evidence});
-    }
-}
-
 bool kill_is_due(const Assignment& assignment, TimePoint now) {
     if (!assignment.stop_requested || assignment.exited() || now < assignment.stop_at) return false;
     if (!assignment.may_have_been_sent() && !assignment.launch_unanswered) return false;
@@ -178,19 +160,32 @@
         spot_reclaim_at = now + secs(std::max(0.0, *heartbeat.notice_s));
     }
 
-    std::unordered_set<Attempt, wire::AttemptHash> listed;
     for (auto& status : heartbeat.tasks) {
-        listed.insert(status.attempt);
         auto [it, is_new] = assignments.try_emplace(status.attempt);
         update(it->second, is_new, status, agent_epoch, now, changes);
     }
-    remove_gone(assignments, changes, [&](auto& attempt, auto& assignment) -> Evidence {
-        if (listed.contains(attempt)) return std::nullopt;
-        return evidence_of_absence(assignment, heartbeat, from_heartbeat_route, own_fencing_token);
-    });
+    remove_gone(heartbeat, from_heartbeat_route, own_fencing_token, changes);
     return true;
 }
 
+void Machine::remove_gone(const wire::WorkerHeartbeat& heartbeat, bool from_heartbeat_route,
+                          std::uint64_t own_fencing_token, std::vector<AssignmentChange>& changes) {
+    std::unordered_set<Attempt, wire::AttemptHash> listed;
+    for (auto& status : heartbeat.tasks) listed.insert(status.attempt);
+    for (auto it = assignments.begin(); it != assignments.end();) {
+        auto& [attempt, assignment] = *it;
+        std::optional<GoneEvidence> evidence;
+        if (!listed.contains(attempt))
+            evidence = evidence_of_absence(assignment, heartbeat, from_heartbeat_route, own_fencing_token);
+        if (!evidence) {
+            ++it;
+            continue;
+        }
+        if (!assignment.exited()) changes.push_back({AssignmentChange::lost, attempt, assignment, evidence});
+        it = assignments.erase(it);
+    }
+}
+
 std::vector<wire::Command> Machine::commands(
     TimePoint now, bool launches,
     const std::function<bool(const wire::Attempt&, const Assignment&)>& may_reap) const {
--- a/src/fleet/machine.hpp
+++ b/src/fleet/machine.hpp
@@ -97,6 +97,10 @@
         const std::function<bool(const wire::Attempt&, const Assignment&)>& may_reap) const;
 
   private:
+    // Removes the attempts of which the heartbeat proves that they are gone; those that had not exited are
+    // reported as lost.
+    void remove_gone(const wire::WorkerHeartbeat& heartbeat, bool from_heartbeat_route,
+                     std::uint64_t own_fencing_token, std::vector<AssignmentChange>& changes);
     std::unordered_map<std::string, double> fetching_;
 };
 
--- a/src/placement/commands.cpp
+++ b/src/placement/commands.cpp
@@ -23,8 +23,7 @@
 void Cluster::drop_unsent_starts(Machine& m) {
     std::vector<Attempt> dropped;
     for (auto& [a, e] : m.assignments)
-        if (e.stop_requested && !e.launch_unanswered && !e.in_flight &&
-            (e.phase == AssignmentPhase::recording || e.phase == AssignmentPhase::ready))
+        if (e.stop_requested && !e.launch_unanswered && !e.in_flight && !e.may_have_been_sent())
             dropped.push_back(a);
     for (auto& a : dropped) {
         release_charge(m.assignments.at(a));
--- a/tests/evidence_test.cpp
+++ b/tests/evidence_test.cpp
@@ -23,7 +23,10 @@
         f.cluster->schedule_round(f.now);
         records.apply(f.write());
         started = f.on("n-1").at(0);
-        f.restart(own_token);
+        read_records(own_token);
+    }
+    void read_records(std::uint64_t fencing_token) {
+        f.restart(fencing_token);
         records.read_into(*f.cluster, f.now, f.wall);
     }
     // As an earlier version wrote the records.
@@ -31,8 +34,7 @@
         for (auto& [key, value] : records.values)
             if (state::parse_assignment_shard_key(key))
                 for (auto& machine : value) machine.erase(machine.begin() + 7, machine.end());
-        f.restart(own_token);
-        records.read_into(*f.cluster, f.now, f.wall);
+        read_records(own_token);
     }
     void hear(std::uint64_t agent_epoch, std::uint64_t fencing_token, std::vector<TaskStatus> tasks = {}) {
         auto heartbeat = f.heartbeat("n-1", std::move(tasks), fencing_token);
@@ -105,8 +107,7 @@
     hear(1, earlier_token);
     f.cluster->mark_machine_changed("n-1");
     records.apply(f.write());
-    f.restart(own_token + 10);
-    records.read_into(*f.cluster, f.now, f.wall);
+    read_records(own_token + 10);
     hear(2, own_token);
     EXPECT_TRUE(may_run());
     hear(3, own_token);
@@ -129,59 +130,58 @@
 }
 
 namespace {
-std::optional<std::uint64_t> recorded_agent_epoch(const std::vector<placement::Write>& writes) {
-    for (auto& write : writes)
-        if (state::parse_assignment_shard_key(write.key))
-            return state::parse_assignment_shard(*write.value)->at(0).agent_epoch;
-    return std::nullopt;
-}
+// A task is to start on n-1, whose worker is in its first agent epoch.
+struct StartRecord : ::testing::Test {
+    Fleet f;
+    Job* job = nullptr;
+
+    void SetUp() override {
+        f.up("n-1");
+        job = &f.add(f.spec("wk-1"));
+        f.cluster->schedule_round(f.now);
+    }
+    void hear_of_second_agent_epoch(bool from_heartbeat_route) {
+        auto heartbeat = f.heartbeat("n-1");
+        heartbeat.agent_epoch = 2;
+        f.cluster->on_heartbeat(heartbeat, from_heartbeat_route, f.now);
+    }
+    // Writes what is pending; the agent epoch that the machine's record names.
+    std::optional<std::uint64_t> write_agent_epoch() {
+        for (auto& write : f.write())
+            if (state::parse_assignment_shard_key(write.key))
+                return state::parse_assignment_shard(*write.value)->at(0).agent_epoch;
+        return std::nullopt;
+    }
+    void expect_recorded_again_before_it_is_sent() {
+        EXPECT_TRUE(f.cluster->push_commands(f.machine("n-1"), f.now).empty());
+        EXPECT_EQ(write_agent_epoch(), 2u);
+        EXPECT_EQ(f.cluster->push_commands(f.machine("n-1"), f.now).size(), 1u);
+    }
+};
 }  // namespace
 
 // A start that is launched in a later agent epoch than its record names would be taken for gone by a
 // successor.
-TEST(StartRecord, AStartIsRecordedAgainBeforeItIsSentInALaterAgentEpoch) {
-    Fleet f;
-    f.up("n-1");
-    f.add(f.spec("wk-1"));
-    f.cluster->schedule_round(f.now);
-    EXPECT_EQ(recorded_agent_epoch(f.write()), 1u);
-    auto heartbeat = f.heartbeat("n-1");
-    heartbeat.agent_epoch = 2;
-    f.cluster->on_heartbeat(heartbeat, true, f.now);
-    EXPECT_TRUE(f.cluster->push_commands(f.machine("n-1"), f.now).empty());
-    EXPECT_EQ(recorded_agent_epoch(f.write()), 2u);
-    EXPECT_EQ(f.cluster->push_commands(f.machine("n-1"), f.now).size(), 1u);
+TEST_F(StartRecord, AStartIsRecordedAgainBeforeItIsSentInALaterAgentEpoch) {
+    EXPECT_EQ(write_agent_epoch(), 1u);
+    hear_of_second_agent_epoch(true);
+    expect_recorded_again_before_it_is_sent();
 }
 
-TEST(StartRecord, AWriteForAnEarlierAgentEpochDoesNotReleaseTheStart) {
-    Fleet f;
-    f.up("n-1");
-    f.add(f.spec("wk-1"));
-    f.cluster->schedule_round(f.now);
+TEST_F(StartRecord, AWriteForAnEarlierAgentEpochDoesNotReleaseTheStart) {
     auto in_flight = f.cluster->take_writes(1000, 1 << 20, f.now, f.wall);
-    auto heartbeat = f.heartbeat("n-1");
-    heartbeat.agent_epoch = 2;
-    f.cluster->on_heartbeat(heartbeat, true, f.now);
+    hear_of_second_agent_epoch(true);
     for (auto& write : in_flight)
         if (write.on_durable) write.on_durable();
-    EXPECT_TRUE(f.cluster->push_commands(f.machine("n-1"), f.now).empty());
-    EXPECT_EQ(recorded_agent_epoch(f.write()), 2u);
-    EXPECT_EQ(f.cluster->push_commands(f.machine("n-1"), f.now).size(), 1u);
+    expect_recorded_again_before_it_is_sent();
 }
 
 // The worker refuses a launch for an agent epoch that has ended, and its answer names the later one.
-TEST(StartRecord, ARefusedStartIsRecordedAgainForTheAgentEpochOfTheAnswer) {
-    Fleet f;
-    f.up("n-1");
-    auto& job = f.add(f.spec("wk-1"));
-    f.schedule_and_write();
+TEST_F(StartRecord, ARefusedStartIsRecordedAgainForTheAgentEpochOfTheAnswer) {
+    f.write();
     auto sent = f.cluster->push_commands(f.machine("n-1"), f.now);
     f.cluster->push_answered(f.machine("n-1"), sent, 10, false, false, f.now);
-    auto answer = f.heartbeat("n-1");
-    answer.agent_epoch = 2;
-    f.cluster->on_heartbeat(answer, false, f.now);
-    EXPECT_EQ(job.placements.size(), 1u);
-    EXPECT_TRUE(f.cluster->push_commands(f.machine("n-1"), f.now).empty());
-    EXPECT_EQ(recorded_agent_epoch(f.write()), 2u);
-    EXPECT_EQ(f.cluster->push_commands(f.machine("n-1"), f.now).size(), 1u);
+    hear_of_second_agent_epoch(false);
+    EXPECT_EQ(job->placements.size(), 1u);
+    expect_recorded_again_before_it_is_sent();
 }
--- a/tests/sim/agent_epochs.cpp
+++ b/tests/sim/agent_epochs.cpp
@@ -17,13 +17,9 @@
     return options;
 }
 
-Nanos more_than_a_lease(Site& site) {
-    return secs(site.options().lease_s) + draw(site, 1, 4);
-}
-
 // Workers begin another agent epoch: all of them, or some.
 void end_agent_epochs(Site& site) {
-    const auto length = more_than_a_lease(site);
+    const auto length = secs(site.options().lease_s) + draw(site, 1, 4);
     if (site.world.one_in(2)) {
         end_all_nodes(site, length);
     } else {
@@ -103,11 +99,7 @@
         if (other_troubles && w.one_in(2)) begin_any_trouble(site);
         site.run(draw(site, 5, 12));
     }
-    site.run(longest_trouble);
-    const auto over = w.now();
-    site.watch_waiting();
-    site.run(100s);
-    return over;
+    return watch_until_settled(site);
 }
 
 }  // namespace
--- a/tests/sim/faults.cpp
+++ b/tests/sim/faults.cpp
@@ -104,11 +104,7 @@
     if (!w.one_in(4)) std::sort(chosen.begin(), chosen.end());
     Nanos delay{0};
     for (auto k : chosen) {
-        site.world.after(delay, [&site, name = worker.name(), k] {
-            const auto found = site.workers().find(name);
-            if (found == site.workers().end()) return;
-            Worker::deliver_copy(site.world, *found->second, found->second->sent_heartbeats()[k].body);
-        });
+        w.after(delay, sent[k].arrive);
         delay += milliseconds_up_to(w, 400);
     }
 }
--- a/tests/sim/pairs.cpp
+++ b/tests/sim/pairs.cpp
@@ -47,6 +47,9 @@
     for (int i = 0; i < 6; ++i) site.submit(site.job(2, site.world.between(3, 30)));
 }
 
+// Each trouble lasts for less than this.
+constexpr std::chrono::seconds longest_trouble{45};
+
 struct Trouble {
     const char* name;
     std::function<void(Site&)> begin;
@@ -191,15 +194,19 @@
         }
         site.run(draw(site, 4, 16));
     }
+    return watch_until_settled(site);
+}
+
+}  // namespace
+
+Nanos watch_until_settled(Site& site) {
     site.run(longest_trouble);
-    const auto over = w.now();
+    const auto over = site.world.now();
     site.watch_waiting();
     site.run(110s);
     return over;
 }
 
-}  // namespace
-
 void begin_any_trouble(Site& site) {
     auto& w = site.world;
     const auto& trouble = troubles()[w.random() % troubles().size()];
--- a/tests/sim/pairs.hpp
+++ b/tests/sim/pairs.hpp
@@ -8,8 +8,10 @@
 // SIM_TROUBLES="outage freeze" leaves out all other troubles, to shorten a history that failed.
 Drawn pairs(std::uint64_t seed);
 
-// Begins one of the troubles, all of which are over after `longest_trouble`.
-inline constexpr std::chrono::seconds longest_trouble{45};
+// Begins one of the troubles of `pairs`.
 void begin_any_trouble(Site& site);
+// Runs until all of them are over, and on for as long as a job may be left waiting then. Returns when they
+// were over.
+Nanos watch_until_settled(Site& site);
 
 }  // namespace barrowrun::sim
--- a/tests/sim/worker.cpp
+++ b/tests/sim/worker.cpp
@@ -164,11 +164,6 @@
     }
 }
 
-void Worker::deliver_copy(World& world, const Worker& sender, const Json& body) {
-    for (auto& [node, address] : sender.nodes_)
-        world.send({sender.name() + "-copy", verb::post, "/hello", body, 0}, address, 4s, [](Reply) {});
-}
-
 void Worker::heartbeat() {
     in_flight_ = true;
     last_sent_ = world_.now();
@@ -176,12 +171,13 @@
             std::chrono::milliseconds(static_cast<long>(
                 static_cast<double>(rules_.heartbeat.count() / 1'000'000) * world_.between(0.75, 1.25)));
     auto body = wire::worker_heartbeat_json(say());
-    sent_heartbeats_.push_back({agent_epoch_, body});
+    sent_heartbeats_.push_back(
+        {agent_epoch_, [&world = world_, nodes = nodes_, from = name() + "-copy", body] {
+             for (auto& [node, address] : nodes)
+                 world.send({from, verb::post, "/hello", body, 0}, address, 4s, [](Reply) {});
+         }});
     if (copies_until_ > world_.now() && world_.one_in(copies_one_in_))
-        copies_([&world = world_, nodes = nodes_, from = name() + "-copy", body] {
-            for (auto& [node, address] : nodes)
-                world.send({from, verb::post, "/hello", body, 0}, address, 4s, [](Reply) {});
-        });
+        copies_(sent_heartbeats_.back().arrive);
     const auto sent = world_.now();
     const auto agent_epoch = agent_epoch_;
     world_.send({name(), verb::post, "/hello", std::move(body), 0}, nodes_[node_].second, 4s,
--- a/tests/sim/worker.hpp
+++ b/tests/sim/worker.hpp
@@ -41,14 +41,13 @@
         copies_one_in_ = one_in, copies_until_ = world_.now() + length, copies_ = std::move(copies);
     }
     std::uint64_t agent_epoch() const { return agent_epoch_; }
-    // Heartbeats that it has sent, in this order, also those that got lost.
+    // Heartbeats that it has sent, in this order, also those that got lost. `arrive` sends a copy to every
+    // node.
     struct SentHeartbeat {
         std::uint64_t agent_epoch;
-        Json body;
+        std::function<void()> arrive;
     };
     const std::vector<SentHeartbeat>& sent_heartbeats() const { return sent_heartbeats_; }
-    // The copy arrives at every node.
-    static void deliver_copy(World& world, const Worker& sender, const Json& body);
 
   private:
     struct Task {
