Numbers out of an integer's range are refused or limited, the same on every machine

What callers saw: on arm64 GoldenSettings.Platform failed: settings of for deployment.clock_error_ms, deployment.state.txn_ops and deployment.state.value_kb were accepted with other values than on x86-64 (there -9.2e18 ms, 0 and 0: transactions of four operations, records of no bytes).

Cause: conversions of a floating-point number outside the integer's range, which C++ leaves undefined. x86-64 and arm64 give different results.

Change: wire/numbers has two conversions, to_integer (nothing if the type can't hold it) and to_integer_saturated. Settings that no integer holds are refused with their path ("field is too large: deployment.state.txn_ops"). The same conversion stood where numbers of users, workers, the cloud and settings files reach an integer: durations (secs(), which is limited to +-1e9 s), connection limits, open provisioning requests, array slots, memory limits and output sizes; these are limited now.

--- a/src/api/node.cpp
+++ b/src/api/node.cpp
@@ -3,6 +3,7 @@
 #include <spdlog/spdlog.h>
 
 #include "api/responses.hpp"
+#include "wire/numbers.hpp"
 
 namespace barrowrun::api {
 using net::http::verb;
@@ -31,12 +32,12 @@
       state_(io, settings.state_service_address, settings.state_requests_per_s, settings.state_writes_per_s,
              settings.members.size() + 1),
       cloud_(io, settings.cloud_address, settings.cloud_requests_per_s),
-      workers_(io, 1, static_cast<std::size_t>(settings.max_connections * 0.3)),
+      workers_(io, 1, wire::to_integer_saturated<std::size_t>(settings.max_connections * 0.3)),
       peers_(io, 8),
       election_(io, settings.node_name, peers_of(settings), state_, peers_,
                 election::Timing{settings.leader_lease, settings.lease_vote}),
-      public_server_(io, static_cast<std::size_t>(settings.max_connections * 0.55)),
-      peer_server_(io, static_cast<std::size_t>(settings.max_connections * 0.1)),
+      public_server_(io, wire::to_integer_saturated<std::size_t>(settings.max_connections * 0.55)),
+      peer_server_(io, wire::to_integer_saturated<std::size_t>(settings.max_connections * 0.1)),
       renewer_(settings.zone, settings.lease_renewal_period(), Clock::now()) {
     election_.heartbeat = [this] {
         auto now = Clock::now();
--- a/src/api/provisioner.cpp
+++ b/src/api/provisioner.cpp
@@ -2,6 +2,8 @@
 
 #include <spdlog/spdlog.h>
 
+#include "wire/numbers.hpp"
+
 namespace barrowrun::api {
 using net::Task;
 using state::Outcome;
@@ -107,7 +109,8 @@
 
 // Bounds the requests that wait for the cloud's rate limit or for a response.
 std::size_t Provisioner::max_open_requests() const {
-    return static_cast<std::size_t>(std::max(min_open_requests, services_.settings.cloud_requests_per_s));
+    return wire::to_integer_saturated<std::size_t>(
+        std::max(min_open_requests, services_.settings.cloud_requests_per_s));
 }
 
 Task<> Provisioner::scaling_loop() {
--- a/src/autoscaler/scale_out.cpp
+++ b/src/autoscaler/scale_out.cpp
@@ -4,6 +4,8 @@
 #include <cmath>
 #include <tuple>
 
+#include "wire/numbers.hpp"
+
 namespace barrowrun::autoscaler {
 using placement::Cluster;
 using placement::Job;
@@ -108,7 +110,7 @@
     // A slot can't serve two tasks if all tasks should start before the first one could have ended.
     const double wanted =
         cannot_wait_for_boots(cluster_, job.spec) ? total : total * estimate.run_s / estimate.finish_s;
-    const auto slots = static_cast<std::uint32_t>(std::ceil(wanted));
+    const auto slots = wire::to_integer_saturated<std::uint32_t>(std::ceil(wanted));
     return std::min(tasks, slots > running ? slots - running : 0);
 }
 
@@ -144,7 +146,7 @@
     for (auto& [slot, cpus] : supply_.freed_cpus()) {
         if (tasks == 0) break;
         if ((slot.spot && !job.spec.spot_ok) || slot.cpus < min_slot_share * need) continue;
-        auto taken = std::min<std::uint32_t>(tasks, static_cast<std::uint32_t>(cpus / need));
+        auto taken = std::min<std::uint32_t>(tasks, wire::to_integer_saturated<std::uint32_t>(cpus / need));
         tasks -= taken;
         cpus -= taken * need;
     }
--- a/src/base/clock.hpp
+++ b/src/base/clock.hpp
@@ -1,5 +1,6 @@
 #pragma once
 // The clocks and time types of this program, and safety margins for clock drift.
+#include <algorithm>
 #include <chrono>
 #include <cstdint>
 #ifdef BARROWRUN_VIRTUAL_TIME  // set for tests/sim only: whole nodes run on a clock that the test advances
@@ -17,8 +18,13 @@
 using TimePoint = Clock::time_point;
 using Seconds = std::chrono::duration<double>;
 
+// Longest duration that `secs` returns, about 30 years: sums of several still fit the clock's representation.
+inline constexpr double max_duration_s = 1e9;
+
+// Durations come from messages and settings, too: those outside the clock's range are limited.
 inline Clock::duration secs(double s) {
-    return std::chrono::duration_cast<Clock::duration>(Seconds(s));
+    return std::chrono::duration_cast<Clock::duration>(
+        Seconds(std::clamp(s, -max_duration_s, max_duration_s)));
 }
 
 // Steady clocks of different machines drift apart by up to 0.05%. Both sides of a comparison may be off, so
--- a/src/net/connection_limiter.cpp
+++ b/src/net/connection_limiter.cpp
@@ -2,10 +2,12 @@
 
 #include <algorithm>
 
+#include "wire/numbers.hpp"
+
 namespace barrowrun::net {
 namespace {
 std::size_t part(std::size_t of, double share) {
-    return std::max<std::size_t>(1, static_cast<std::size_t>(static_cast<double>(of) * share));
+    return std::max<std::size_t>(1, wire::to_integer_saturated<std::size_t>(static_cast<double>(of) * share));
 }
 }  // namespace
 
--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -5,12 +5,15 @@
 #include <sstream>
 
 #include "net/http_client.hpp"
+#include "wire/numbers.hpp"
 
 namespace barrowrun::settings {
 namespace {
 
 using wire::Json;
 
+constexpr double bytes_per_kb = 1024;
+
 const Json& required_field(const Json& parent, const std::string& path, const char* key) {
     const Json* value = wire::find(parent, key);
     if (!value) throw SettingsError("missing field: " + path + key);
@@ -45,6 +48,14 @@
     return *value;
 }
 
+// The value as an integer of the type, which must be able to hold it.
+template <class Integer>
+Integer whole(double value, const std::string& path, const char* key) {
+    auto integer = wire::to_integer<Integer>(value);
+    if (!integer) throw SettingsError("field is too large: " + path + key);
+    return *integer;
+}
+
 const Json& required_object(const Json& parent, const std::string& path, const char* key) {
     const Json& value = required_field(parent, path, key);
     if (!value.is_object()) throw SettingsError("field must be an object: " + path + key);
@@ -101,17 +112,19 @@
     settings.state_requests_per_s = required_positive(state, "deployment.state.", "rps");
     settings.state_writes_per_s = required_positive(state, "deployment.state.", "write_rps");
     settings.placement.value_bytes =
-        static_cast<std::size_t>(required_positive(state, "deployment.state.", "value_kb") * 1024);
-    settings.placement.txn_ops =
-        static_cast<std::size_t>(required_positive(state, "deployment.state.", "txn_ops"));
+        whole<std::size_t>(required_positive(state, "deployment.state.", "value_kb") * bytes_per_kb,
+                           "deployment.state.", "value_kb");
+    settings.placement.txn_ops = whole<std::size_t>(required_positive(state, "deployment.state.", "txn_ops"),
+                                                    "deployment.state.", "txn_ops");
     const Json& cloud = required_object(deployment, "deployment.", "cloud");
     settings.cloud_requests_per_s = required_positive(cloud, "deployment.cloud.", "rps");
     settings.list_lag_s = optional_non_negative(cloud, "deployment.cloud.", "list_lag_s");
     const Json& quota = required_object(deployment, "deployment.", "quota");
     settings.max_connections = required_positive(quota, "deployment.quota.", "max_sockets");
     if (wire::find(deployment, "clock_error_ms"))
-        settings.max_clock_error = std::chrono::milliseconds(static_cast<std::int64_t>(
-            std::ceil(optional_non_negative(deployment, "deployment.", "clock_error_ms"))));
+        settings.max_clock_error = std::chrono::milliseconds(
+            whole<std::int64_t>(std::ceil(optional_non_negative(deployment, "deployment.", "clock_error_ms")),
+                                "deployment.", "clock_error_ms"));
     return settings;
 }
 
--- a/src/worker/agent.cpp
+++ b/src/worker/agent.cpp
@@ -2,6 +2,7 @@
 
 #include "config/schema.hpp"
 #include "net/outage_log.hpp"
+#include "wire/numbers.hpp"
 #include "worker/worker_schema.hpp"
 
 namespace barrowrun::worker {
@@ -36,7 +37,8 @@
         throw config::ConfigError("[listen]: expected an IP address and a port");
     settings.depot = json.at("depot");
     settings.state_dir = json.at("state_dir");
-    settings.output_bytes = static_cast<std::uint64_t>(json.value("output_mb", 16.0) * 1024 * 1024);
+    settings.output_bytes =
+        wire::to_integer_saturated<std::uint64_t>(json.value("output_mb", 16.0) * 1024 * 1024);
     return settings;
 }
 
--- a/src/worker/executor.cpp
+++ b/src/worker/executor.cpp
@@ -5,6 +5,7 @@
 #include <sys/stat.h>
 #include <unistd.h>
 
+#include "wire/numbers.hpp"
 #include "worker/stage.hpp"
 
 namespace barrowrun::worker {
@@ -291,7 +292,8 @@
     command.env["PWD"] = command.dir;
     command.env[proc::mark_variable] = settings_.mark;
     if (description.limit_memory)
-        command.memory_bytes = static_cast<std::uint64_t>(description.spec.need.mem_gb * 1024 * 1024 * 1024);
+        command.memory_bytes =
+            wire::to_integer_saturated<std::uint64_t>(description.spec.need.mem_gb * 1024 * 1024 * 1024);
     bool succeeded = true;
     for (auto& step : description.steps) {
         if (running->killed || running->save_requested_at) {
