--- a/tests/sim/checker.cpp
+++ b/tests/sim/checker.cpp
@@ -58,6 +58,12 @@
     return it != facts_.end() && (it->second.told_done || it->second.told_cancelled);
 }
 
+void Checker::launched_again(const Where& at, const wire::Attempt& a) {
+    ++launched_again_;
+    breaks("launched_again", a.task.str() + ", attempt " + std::to_string(a.number) + ", on " + at.machine +
+                                 ", where it was reaped");
+}
+
 void Checker::started(const Where& at, const wire::Attempt& a) {
     ++starts_;
     machines_[at.machine] = at;
--- a/tests/sim/checker.hpp
+++ b/tests/sim/checker.hpp
@@ -32,6 +32,8 @@
         bool spot = false;
     };
     void started(const Where& at, const wire::Attempt& a);
+    // A worker carries out the launch of an attempt that it was told to reap.
+    void launched_again(const Where& at, const wire::Attempt& a);
     void gone(const std::string& machine, const wire::Attempt& a);
     void finished(const wire::TaskId& task);
     std::function<void(const std::string& job)> on_last_task_done;
@@ -59,6 +61,7 @@
     std::size_t starts() const { return starts_; }
     std::size_t started_after_cancel() const { return after_cancel_; }
     std::size_t confirmed() const { return confirmed_; }
+    std::size_t launched_again() const { return launched_again_; }
     bool accepted(const std::string& id) const;
     bool over(const std::string& id) const;
     bool last_question_failed(const std::string& id) const;
@@ -91,7 +94,7 @@
     std::map<std::string, double> team_use_;
     std::vector<std::string> broken_;
     std::set<std::string> said_;
-    std::size_t starts_ = 0, after_cancel_ = 0, confirmed_ = 0, jobs_done_ = 0;
+    std::size_t starts_ = 0, after_cancel_ = 0, confirmed_ = 0, jobs_done_ = 0, launched_again_ = 0;
 };
 
 }  // namespace barrowrun::sim
--- a/tests/sim/faults.cpp
+++ b/tests/sim/faults.cpp
@@ -113,6 +113,14 @@
     for (auto* worker : site.live_workers()) worker->delay_commands(one_in, length);
 }
 
+void copy_commands(Site& site, std::uint64_t one_in, Nanos length, Nanos latest) {
+    for (auto* worker : site.live_workers()) worker->copy_commands(one_in, length, latest);
+}
+
+void fail_tasks(Site& site, std::uint64_t one_in, Nanos length) {
+    for (auto* worker : site.live_workers()) worker->fail_tasks(one_in, length);
+}
+
 void odd_requests(Site& site, Nanos length) {
     site.world.every(400ms, [&site, kind = std::size_t{0}, until = site.world.now() + length]() mutable {
         site.submit_unsound(kind++);
--- a/tests/sim/faults.hpp
+++ b/tests/sim/faults.hpp
@@ -36,6 +36,10 @@
 void deliver_old_reports(Site& site, const Worker& worker, std::size_t count);
 // Direct commands to all machines: one in so many is carried out late, and not answered.
 void delay_commands(Site& site, std::uint64_t one_in, Nanos length);
+// Copies of direct commands that were carried out and answered arrive later, up to `latest` after them.
+void copy_commands(Site& site, std::uint64_t one_in, Nanos length, Nanos latest);
+// Tasks fail on all machines, one in so many, soon after they began.
+void fail_tasks(Site& site, std::uint64_t one_in, Nanos length);
 // Users repeat submissions, cancel what is over, and send jobs that can't run or lack a field.
 void odd_requests(Site& site, Nanos length);
 
--- a/tests/sim/services.cpp
+++ b/tests/sim/services.cpp
@@ -86,9 +86,30 @@
                          [this, request = std::move(request)] { carry_out(request, [](Response) {}); });
         return;
     }
+    if (request.target == "/multi" && copies_until_ > world_.now() && world_.one_in(copies_one_in_) &&
+        (lost_only_.empty() || request.body.dump().find(lost_only_) != std::string::npos)) {
+        carry_out(request, [this, request, answer](Response response) {
+            if (response.status == 200) send_copies(request);
+            answer(std::move(response));
+        });
+        return;
+    }
     carry_out(request, std::move(answer));
 }
 
+void StateServer::send_copies(const Request& request) {
+    const auto copies = 1 + world_.random() % 2;
+    for (std::uint64_t i = 0; i < copies; ++i)
+        world_.after(500ms + secs(world_.between(0, Seconds(copies_latest_).count())), [this, request] {
+            if (fails(request.from)) return;
+            carry_out(request, [this](Response response) {
+                if (response.status != 200) return;
+                ++copies_carried_out_;
+                if (on_copy_carried_out) on_copy_carried_out();
+            });
+        });
+}
+
 // Also those that are carried out late, or whose answer is lost.
 void StateServer::record_transaction(const Request& request, const lab::Answer& result) {
     auto& digest = world_.digest();
--- a/tests/sim/services.hpp
+++ b/tests/sim/services.hpp
@@ -20,6 +20,14 @@
     }
     // A late transaction is carried out after just so long.
     void carry_out_late_after(Nanos delay) { late_after_ = delay; }
+    // Of transactions that are carried out and answered with 200, one in so many arrives once or twice more,
+    // 0.5 s to `latest` later.
+    void copy_transactions(std::uint64_t one_in, Nanos length, Nanos latest) {
+        copies_one_in_ = one_in, copies_until_ = world_.now() + length, copies_latest_ = latest;
+    }
+    // Called when a copy was carried out.
+    std::function<void()> on_copy_carried_out;
+    std::uint64_t copies_carried_out() const { return copies_carried_out_; }
     // Only transactions that hold the text are hit.
     void lose_only(std::string text) { lost_only_ = std::move(text); }
     std::uint64_t writes() const { return writes_; }
@@ -36,13 +44,15 @@
     bool fails(const std::string& node) const;
     void handle(Request request, Answer answer);
     void carry_out(const Request& request, Answer answer);
+    void send_copies(const Request& request);
     void record_transaction(const Request& request, const lab::Answer& result);
     void changed();
     World& world_;
     lab::StateStore store_;
     std::map<std::string, Nanos> refused_;
-    Nanos out_until_{0}, slow_until_{0}, slow_by_{0}, lost_until_{0};
-    std::uint64_t lost_one_in_ = 1, writes_ = 0, over_the_rate_ = 0;
+    Nanos out_until_{0}, slow_until_{0}, slow_by_{0}, lost_until_{0}, copies_until_{0}, copies_latest_{0};
+    std::uint64_t copies_one_in_ = 1, copies_carried_out_ = 0, lost_one_in_ = 1, writes_ = 0,
+                  over_the_rate_ = 0;
     bool lost_at_once_ = false;
     std::string lost_only_;
     std::optional<Nanos> late_after_;
--- a/tests/sim/worker.cpp
+++ b/tests/sim/worker.cpp
@@ -41,10 +41,28 @@
 }
 
 void Worker::receive(Json body, Answer answer) {
-    if (hung())
+    if (hung()) {
         held_.emplace_back(std::move(body), std::move(answer));
-    else
-        answer(command(body));
+        return;
+    }
+    auto response = command(body);
+    if (command_copies_until_ > world_.now() && response.status == 200 &&
+        world_.one_in(command_copies_one_in_))
+        send_copies(body);
+    answer(std::move(response));
+}
+
+void Worker::send_copies(const Json& body) {
+    const auto copies = 1 + world_.random() % 2;
+    for (std::uint64_t i = 0; i < copies; ++i)
+        world_.after(500ms + secs(world_.between(0, Seconds(command_copies_latest_).count())),
+                     [this, body, alive = std::weak_ptr<Worker*>(self_)] {
+                         if (alive.expired() || !alive_) return;
+                         if (hung())
+                             held_.emplace_back(body, [](Response) {});
+                         else
+                             command(body);
+                     });
 }
 
 Worker::~Worker() {
@@ -64,6 +82,7 @@
         if (t.state != TaskState::exited) gangs_.lose(a);
     }
     tasks_.clear();
+    reaped_.clear();
 }
 
 void Worker::hang(Nanos length) {
@@ -118,6 +137,10 @@
         const auto* s = checker_.spec(a.task.job);
         if (t.state == TaskState::fetching && world_.now() >= t.ready) image_is_here(a, t, s);
         if (s && s->kind == wire::JobKind::gang) step_gang(a, t, *s);
+        if (t.state == TaskState::running && t.fails && world_.now() >= *t.fails) {
+            exit(a, t, Cause::error);
+            continue;
+        }
         if (t.state == TaskState::running && world_.now() >= t.ends) {
             results_.insert(a.task);
             checker_.finished(a.task);
@@ -141,6 +164,8 @@
         return;
     }
     t.state = TaskState::running;
+    if (failures_until_ > world_.now() && world_.one_in(failures_one_in_))
+        t.fails = world_.now() + std::chrono::milliseconds(world_.random() % 1000);
     // A result that was kept: it exits as soon as it has its image.
     t.ends = results_.contains(a.task) ? world_.now()
              : spec && spec->kind == wire::JobKind::service
@@ -236,7 +261,11 @@
     for (auto& c : commands) {
         auto it = tasks_.find(c.attempt);
         if (c.verb == wire::Verb::reap) {
-            if (it != tasks_.end() && it->second.state == TaskState::exited) tasks_.erase(it), changed();
+            if (it != tasks_.end() && it->second.state == TaskState::exited) {
+                reaped_.insert(c.attempt);
+                tasks_.erase(it);
+                changed();
+            }
             continue;
         }
         if (c.verb == wire::Verb::kill) {
@@ -253,6 +282,7 @@
             continue;
         }
         if (it != tasks_.end()) continue;
+        if (reaped_.contains(c.attempt)) checker_.launched_again(where_, c.attempt);
         auto* s = checker_.spec(c.attempt.task.job);
         const bool busy = std::any_of(tasks_.begin(), tasks_.end(), [&](auto& kv) {
             return kv.first.task == c.attempt.task && kv.second.state != TaskState::exited;
--- a/tests/sim/worker.hpp
+++ b/tests/sim/worker.hpp
@@ -31,6 +31,16 @@
     void delay_commands(std::uint64_t one_in, Nanos length) {
         late_one_in_ = one_in, late_until_ = world_.now() + length;
     }
+    // Of direct commands that are carried out and answered with 200, one in so many arrives once or twice
+    // more, 0.5 s to `latest` later.
+    void copy_commands(std::uint64_t one_in, Nanos length, Nanos latest) {
+        command_copies_one_in_ = one_in, command_copies_until_ = world_.now() + length,
+        command_copies_latest_ = latest;
+    }
+    // Of the tasks that get their image, one in so many fails within a second.
+    void fail_tasks(std::uint64_t one_in, Nanos length) {
+        failures_one_in_ = one_in, failures_until_ = world_.now() + length;
+    }
     wire::Resources room() const;
     bool runs(const std::string& job) const;
     std::vector<std::string> jobs() const;  // of which it has tasks that go on
@@ -55,6 +65,7 @@
         wire::Cause cause = wire::Cause::none;
         bool stored = false;
         Nanos ready{0}, since{0}, ends{0}, saved_at{0};  // since: in its state
+        std::optional<Nanos> fails;
     };
     void step();
     void heartbeat();
@@ -69,6 +80,7 @@
     void receive(Json body, Answer answer);
     wire::WorkerHeartbeat say();
     Response command(const Json& body);
+    void send_copies(const Json& body);
     void changed() { next_ = std::min(next_, std::max(world_.now(), last_sent_ + 500ms)); }
     World& world_;
     Checker& checker_;
@@ -84,8 +96,11 @@
     Nanos lease_from_, next_, last_sent_{-1s}, fencing_token_told_{-1000s}, hung_until_{0}, copies_until_{0},
         late_until_{0};
     Copies copies_;
+    std::uint64_t command_copies_one_in_ = 1, failures_one_in_ = 1;
+    Nanos command_copies_until_{0}, command_copies_latest_{0}, failures_until_{0};
     std::vector<SentHeartbeat> sent_heartbeats_;
     std::map<wire::Attempt, Task> tasks_;
+    std::set<wire::Attempt> reaped_;  // in this agent epoch
     std::set<wire::TaskId> results_;
     std::shared_ptr<Worker*> self_;              // for what comes back after its end
     std::vector<std::pair<Json, Answer>> held_;  // commands that came while it hung
