Late copies of transactions: the versions of the records that a transaction replaces are its preconditions

Cause: the writer's one precondition was the version of the leader key. It voids a transaction without an answer, since the key is set anew after one, but a transaction that was executed and answered may be executed once more under the same token, and puts older records of machines and jobs over newer ones.

Why this works: state/record_versions knows the version of each record that this leader replaces, from the listing at recovery or from its own transactions, and api/fenced_writer makes them preconditions. Versions only grow, so a copy finds newer ones and fails as a whole. After an unknown outcome the token is refreshed as before, then the versions are read again. A refused version is logged as an error and read again. The quotas' writer had the same flaw and uses the same class.

--- a/src/api/quota_service.cpp
+++ b/src/api/quota_service.cpp
@@ -198,16 +198,14 @@
                                              std::optional<Json> head) {
     for (;;) {
         if (!host_.may_act()) co_return false;
-        std::vector<state::Precondition> preconditions{services_.election.fencing_precondition()};
-        auto result = co_await services_.state.compare_and_swap(std::move(preconditions), operations);
-        if (result.outcome == Outcome::ok) co_return true;
-        if (result.outcome == Outcome::conflict) {
+        const auto outcome = co_await writer_.write(operations);
+        if (outcome == Outcome::ok) co_return true;
+        if (outcome == Outcome::conflict) {
             // Not executed: the fencing token was refreshed meanwhile, or another node leads.
-            services_.election.suspect_lost_leadership();
             co_await net::sleep_for(conflict_retry_pause);
             continue;
         }
-        if (result.outcome == Outcome::refused) {
+        if (outcome == Outcome::refused) {
             co_await net::sleep_for(refused_retry_pause);
             continue;
         }
--- a/src/api/quota_service.hpp
+++ b/src/api/quota_service.hpp
@@ -5,6 +5,7 @@
 #include <string>
 #include <vector>
 
+#include "api/fenced_writer.hpp"
 #include "api/services.hpp"
 #include "net/http_server.hpp"
 #include "placement/cluster.hpp"
@@ -40,7 +41,8 @@
         std::function<bool()> may_act;         // whether this node holds a valid leader lease now
         std::function<void()> wake_placement;  // called when limits have changed
     };
-    QuotaService(Services services, Host host) : services_(services), host_(std::move(host)) {}
+    QuotaService(Services services, Host host)
+        : services_(services), host_(std::move(host)), writer_(services) {}
 
     // Reads the recorded version, once per term, before any task is placed. Returns only when the state
     // service has answered. If the records are invalid, the operator's file stays in force.
@@ -66,6 +68,7 @@
 
     Services services_;
     Host host_;
+    FencedWriter writer_;
     quota::VersionedQuotas quotas_;
     bool changing_ = false;  // a change is being written
 };
--- a/src/api/record_writer.cpp
+++ b/src/api/record_writer.cpp
@@ -27,6 +27,12 @@
            std::max<Clock::duration>(min_progress_interval, min_interval_for_changes);
 }
 
+void RecordWriter::recovered(const state::Snapshot& records) {
+    writer_.recovered("progress/", records.progress);
+    writer_.recovered("sheets/", records.shards);
+    writer_.recovered("hires/", records.provisioning_requests);
+}
+
 Task<> RecordWriter::run() {
     auto& cluster = host_.cluster;
     const auto max_operations = max_transaction_operations(services_.settings.placement);
@@ -52,16 +58,15 @@
 Task<> RecordWriter::write(std::vector<placement::Write> writes) {
     std::vector<state::Operation> operations;
     for (auto& write : writes) operations.push_back({write.key, write.value, 0});
-    std::vector<state::Precondition> preconditions{services_.election.fencing_precondition()};
-    auto result = co_await services_.state.compare_and_swap(std::move(preconditions), std::move(operations));
-    if (result.outcome == Outcome::ok) {
+    const auto outcome = co_await writer_.write(std::move(operations));
+    if (outcome == Outcome::ok) {
         for (auto& write : writes)
             if (write.on_durable) write.on_durable();
         host_.on_write();
         co_return;
     }
-    host_.cluster.write_failed(std::move(writes), result.outcome == Outcome::unknown);
-    co_await handle_failure(result.outcome);
+    host_.cluster.write_failed(std::move(writes), outcome == Outcome::unknown);
+    co_await handle_failure(outcome);
 }
 
 Task<> RecordWriter::handle_failure(Outcome outcome) {
@@ -69,7 +74,6 @@
         co_await fence_unknown_write();
         co_return;
     }
-    if (outcome == Outcome::conflict) services_.election.suspect_lost_leadership();
     const auto pause = outcome == Outcome::conflict ? conflict_pause : refused_pause;
     co_await net::sleep_for(pause);
 }
--- a/src/api/record_writer.hpp
+++ b/src/api/record_writer.hpp
@@ -3,6 +3,7 @@
 #include <functional>
 #include <vector>
 
+#include "api/fenced_writer.hpp"
 #include "api/services.hpp"
 #include "placement/cluster.hpp"
 
@@ -19,7 +20,10 @@
         std::function<void()> on_write;  // called after each durable transaction
     };
     RecordWriter(Services services, Host host)
-        : services_(services), host_(std::move(host)), signal_(services.io) {}
+        : services_(services), host_(std::move(host)), writer_(services), signal_(services.io) {}
+
+    // Adds the versions of the recovered records.
+    void recovered(const state::Snapshot& records);
 
     // Interrupts the wait for pending records.
     void wake() { signal_.wake(); }
@@ -35,6 +39,7 @@
 
     Services services_;
     Host host_;
+    FencedWriter writer_;
     net::Signal signal_;
     TimePoint progress_written_{};  // when a transaction last included progress of running jobs
 };
--- a/src/api/recovery.cpp
+++ b/src/api/recovery.cpp
@@ -24,6 +24,7 @@
     // heartbeat is answered until the deadlines are known.
     if (cell_delegations_) co_await read_delegation_records();
     const auto records = co_await read_snapshot();
+    record_writer_.recovered(records);
     co_await quotas_.recover();
     watch_revision_ = records.jobs.revision;
     co_await recover_catalog();
--- a/src/state/state_client.cpp
+++ b/src/state/state_client.cpp
@@ -74,6 +74,15 @@
     return KeyValue{*key, value_or_null(entry), wire::count(entry, "mark").value_or(0)};
 }
 
+std::vector<std::string> parse_failed_keys(const Json& conflict) {
+    std::vector<std::string> keys;
+    const Json* failed = wire::find(conflict, "failed");
+    if (!failed || !failed->is_array()) return keys;
+    for (const Json& key : *failed)
+        if (key.is_string()) keys.push_back(key.get<std::string>());
+    return keys;
+}
+
 Event parse_event(const Json& entry) {
     Event event;
     event.version = wire::count(entry, "mark").value_or(0);
@@ -197,6 +206,7 @@
     if (out.outcome == Outcome::absent) out.outcome = Outcome::refused;
     out.revision = wire::count(reply.body, "ledger").value_or(0);
     if (out.outcome == Outcome::ok && out.revision == 0) out.outcome = Outcome::unknown;
+    if (out.outcome == Outcome::conflict) out.failed_keys = parse_failed_keys(reply.body);
     co_return out;
 }
 
--- a/src/state/state_client.hpp
+++ b/src/state/state_client.hpp
@@ -65,7 +65,8 @@
 
 struct CompareAndSwapResult {
     Outcome outcome = Outcome::unknown;
-    std::uint64_t revision = 0;  // if ok, the new version of all written keys
+    std::uint64_t revision = 0;            // if ok, the new version of all written keys
+    std::vector<std::string> failed_keys;  // after a conflict: whose preconditions failed
 };
 
 // How the rate limits of the state service apply to a request.
--- a/tests/golden_requests_test.cpp
+++ b/tests/golden_requests_test.cpp
@@ -119,7 +119,7 @@
                                         {{"leader", Json{{"node", "barrow-0"}}, 77},
                                          {"jobs/wk-1", Json::array({1, 2}), 0},
                                          {"progress/wk-1", std::nullopt, 0}});
-    auto [outcome, revision] = finish(io, std::move(call));
+    auto [outcome, revision, failed_keys] = finish(io, std::move(call));
     return {{"outcome", static_cast<int>(outcome)}, {"revision", revision}};
 };
 
--- a/tests/sim/variants_test.cpp
+++ b/tests/sim/variants_test.cpp
@@ -3,6 +3,7 @@
 #include <gtest/gtest.h>
 
 #include "sim/agent_epochs.hpp"
+#include "sim/late_copies.hpp"
 #include "sim/pairs.hpp"
 
 using namespace barrowrun::sim;
@@ -44,7 +45,8 @@
                                      Meeting{"lost_answers", lost_answers}, Meeting{"limits", limits},
                                      Meeting{"handover", handover}, Meeting{"new_machines", new_machines},
                                      Meeting{"old_reports", old_reports}, Meeting{"many_small", many_small},
-                                     Meeting{"old_agent_epochs", old_agent_epochs}),
+                                     Meeting{"old_agent_epochs", old_agent_epochs},
+                                     Meeting{"copied_transactions", copied_transactions}),
                      testing::Range<std::uint64_t>(0, 4)),
     [](auto& of) {
         return std::string(std::get<0>(of.param).name) + "_" + std::to_string(std::get<1>(of.param));
