--- a/src/api/command_dispatcher.cpp
+++ b/src/api/command_dispatcher.cpp
@@ -22,6 +22,16 @@
     return false;
 }
 
+// The report in the worker's answer; nothing if the answer is not a report of this machine.
+std::optional<wire::WorkerHeartbeat> report_of(const fleet::Machine& machine, const net::Reply& reply) {
+    if (reply.status != 200 && reply.status != 409) return std::nullopt;
+    auto heartbeat = wire::parse_worker_heartbeat(reply.body);
+    if (heartbeat && heartbeat->machine == machine.name) return heartbeat;
+    spdlog::error("machine {}: the response to a command request is not a heartbeat of this machine",
+                  machine.name);
+    return std::nullopt;
+}
+
 bool kill_due(const fleet::Machine& machine, TimePoint now) {
     for (auto& [attempt, assignment] : machine.assignments)
         if (!assignment.exited() && assignment.stop_requested &&
@@ -59,7 +69,7 @@
         machines->pop_front();
         // A machine that has sent a heartbeat to this leader in the meantime has seen its fencing token.
         auto* machine = host_.cluster.find_machine(name);
-        if (machine && !(machine->up && machine->fencing_token_seen >= host_.cluster.fencing_token()))
+        if (machine && !(machine->up && machine->fencing_token_seen >= host_.cluster.first_fencing_token()))
             co_await dispatch(name, Purpose::fence);
     }
 }
@@ -74,27 +84,31 @@
             !host_.may_act())
             co_return;
         auto now = Clock::now();
-        const auto fencing_token = services_.election.fencing_token();
-        cluster.set_fencing_token(fencing_token, host_.acquired);
-        const auto agent_epoch = machine->agent_epoch;
+        cluster.set_fencing_token(services_.election.fencing_token(), now);
+        if (purpose == Purpose::fence) machine->fencing_token_sent = cluster.fencing_token();
         auto address = machine->address;
         std::vector<wire::Command> commands;
         if (machine->up) commands = cluster.push_commands(*machine, now);
+        const Sent sent{machine->fencing_token_sent, machine->agent_epoch};
         for (auto& command : commands)
             if (command.verb == wire::Verb::kill) machine->assignments.at(command.attempt).stop_sent = now;
         if (commands.empty() && purpose != Purpose::fence) co_return;
+        spdlog::debug("machine {}: sends {} commands under fencing token {} for agent epoch {}", name,
+                      commands.size(), sent.fencing_token, sent.agent_epoch);
         machine->push_in_flight = true;
-        auto reply = co_await services_.workers.call(address, verb::post, "/commands",
-                                                     wire::push_json(fencing_token, agent_epoch, commands),
-                                                     command_deadline);
+        auto reply = co_await services_.workers.call(
+            address, verb::post, "/commands", wire::push_json(sent.fencing_token, sent.agent_epoch, commands),
+            command_deadline);
         machine = cluster.find_machine(name);
         if (!machine) co_return;
         machine->push_in_flight = false;
         now = Clock::now();
-        const bool executed = reply.status == 200;
-        const bool may_execute = reply.status == 0 && reply.may_execute;
-        cluster.push_answered(*machine, commands, fencing_token, executed, may_execute, now);
-        const auto next = handle_response(*machine, reply, agent_epoch, now);
+        const auto report = report_of(*machine, reply);
+        const bool executed = reply.status == 200 && report;
+        // What a worker did whose answer can't be read is as unknown as without an answer.
+        const bool may_execute = reply.status == 200 ? !report : reply.status == 0 && reply.may_execute;
+        cluster.push_answered(*machine, commands, sent.fencing_token, executed, may_execute, now);
+        const auto next = handle_response(*machine, reply.status, report, sent, now);
         if (next == NextStep::done) co_return;
         if (next == NextStep::check_for_more) purpose = Purpose::commands;
         if (purpose == Purpose::fence) continue;
@@ -104,11 +118,10 @@
     }
 }
 
-CommandDispatcher::NextStep CommandDispatcher::handle_response(fleet::Machine& machine,
-                                                               const net::Reply& reply,
-                                                               std::uint64_t sent_agent_epoch,
-                                                               TimePoint now) {
-    const bool executed = reply.status == 200, refused = reply.status == 409;
+CommandDispatcher::NextStep CommandDispatcher::handle_response(
+    fleet::Machine& machine, int status, const std::optional<wire::WorkerHeartbeat>& report, Sent sent,
+    TimePoint now) {
+    const bool executed = status == 200, refused = status == 409;
     if (!executed && !refused) {
         if (machine.push_reachable)
             spdlog::info("machine {}: no response at its address, commands wait for its heartbeats",
@@ -120,24 +133,21 @@
     machine.push_reachable = true;
     host_.worker_answered(now);
     auto next = NextStep::done;
-    auto heartbeat = wire::parse_worker_heartbeat(reply.body);
-    if (heartbeat && heartbeat->machine == machine.name) {
-        host_.cluster.on_heartbeat(*heartbeat, false, now);
-        // The worker refuses an outdated fencing token if another node leads by now. It also refuses an
-        // outdated agent epoch: the request is then repeated with the current one.
-        if (refused && heartbeat->fencing_token > services_.election.fencing_token()) {
+    if (report) {
+        host_.cluster.on_heartbeat(*report, false, now);
+        // The worker refuses an outdated fencing token if another node leads by now, or if a node of its zone
+        // has renewed its lease under a newer token of this leader. It also refuses an outdated agent epoch.
+        // Unless another node leads, the request is repeated with the current ones.
+        if (refused && report->fencing_token > services_.election.fencing_token()) {
             spdlog::warn("machine {}: its worker has seen the newer fencing token {}, another node may lead",
-                         heartbeat->machine, heartbeat->fencing_token);
+                         report->machine, report->fencing_token);
             services_.election.suspect_lost_leadership();
             return NextStep::done;
         }
         if (executed)
             next = NextStep::check_for_more;
-        else if (heartbeat->agent_epoch != sent_agent_epoch)
-            next = NextStep::repeat_for_agent_epoch;
-    } else {
-        spdlog::error("machine {}: the response to a command request is not a heartbeat of this machine",
-                      machine.name);
+        else if (report->agent_epoch != sent.agent_epoch || report->fencing_token > sent.fencing_token)
+            next = NextStep::repeat;
     }
     host_.wake_placement();
     host_.wake_writes_if_any();
--- a/src/api/command_dispatcher.hpp
+++ b/src/api/command_dispatcher.hpp
@@ -19,7 +19,6 @@
   public:
     struct Host {
         placement::Cluster& cluster;
-        TimePoint acquired;             // start of the term
         std::function<bool()> may_act;  // whether this node holds a valid leader lease now
         std::function<void(std::string, net::Task<>)> spawn;  // starts a coroutine that ends with the term
         std::function<void(TimePoint)> worker_answered;       // called when a worker answers a request
@@ -41,11 +40,15 @@
 
   private:
     enum class Purpose { commands, fence };  // fence: a request is sent even if no command is pending
-    enum class NextStep { done, repeat_for_agent_epoch, check_for_more };
+    enum class NextStep { done, repeat, check_for_more };  // repeat: the worker refused an outdated request
 
     net::Task<> dispatch(std::string machine, Purpose purpose);
-    NextStep handle_response(fleet::Machine& machine, const net::Reply& reply, std::uint64_t sent_agent_epoch,
-                             TimePoint now);
+    // The token and agent epoch of a request.
+    struct Sent {
+        std::uint64_t fencing_token = 0, agent_epoch = 0;
+    };
+    NextStep handle_response(fleet::Machine& machine, int status,
+                             const std::optional<wire::WorkerHeartbeat>& report, Sent sent, TimePoint now);
     net::Task<> fence_known_workers(std::shared_ptr<std::deque<std::string>> machines);
     net::Task<> request_status(std::string machine);
 
--- a/src/api/fenced_writer.cpp
+++ b/src/api/fenced_writer.cpp
@@ -10,15 +10,17 @@
 using net::Task;
 using state::Outcome;
 
-Task<Outcome> FencedWriter::write(std::vector<state::Operation> operations) {
+Task<Outcome> FencedWriter::write(std::vector<state::Operation> operations, Token token) {
     const auto changes = state::RecordVersions::checked_changes(operations);
     const bool read = co_await read_unknown_versions(changes);
     if (!read) co_return Outcome::refused;
     auto preconditions = versions_.preconditions(changes);
     preconditions.push_back(services_.election.fencing_precondition());
+    if (token == Token::refresh) operations.push_back(services_.election.token_refresh());
     auto result = co_await services_.state.compare_and_swap(std::move(preconditions), std::move(operations));
     if (result.outcome == Outcome::ok) {
         versions_.written(changes, result.revision);
+        if (token == Token::refresh) services_.election.token_refreshed(result.revision);
     } else if (result.outcome == Outcome::conflict) {
         handle_conflict(result.failed_keys);
     } else if (result.outcome == Outcome::unknown) {
--- a/src/api/fenced_writer.hpp
+++ b/src/api/fenced_writer.hpp
@@ -19,9 +19,11 @@
     void recovered(const std::string& prefix, const state::Listing& listing) {
         versions_.recovered(prefix, listing);
     }
-    // Sends the operations in one transaction. After an unknown outcome the caller refreshes the fencing
-    // token before it writes again: only then can the transaction no longer be executed.
-    net::Task<state::Outcome> write(std::vector<state::Operation> operations);
+    // Sends the operations in one transaction, which also refreshes the fencing token if that is asked for.
+    // After an unknown outcome the caller refreshes the fencing token before it writes again: only then can
+    // the transaction no longer be executed.
+    enum class Token { keep, refresh };
+    net::Task<state::Outcome> write(std::vector<state::Operation> operations, Token token = Token::keep);
     // How many transactions were refused because a record had another version.
     std::uint64_t version_conflicts() const { return version_conflicts_; }
 
--- a/src/api/leader.cpp
+++ b/src/api/leader.cpp
@@ -2,7 +2,6 @@
 
 #include <spdlog/spdlog.h>
 
-#include "api/in_flight.hpp"
 #include "api/responses.hpp"
 
 namespace barrowrun::api {
@@ -17,11 +16,10 @@
 // response.
 constexpr std::size_t max_commands_per_answer = 300;
 constexpr std::chrono::milliseconds tick_interval{200};
-// Long enough for the workers fenced with the previous token to answer before the token is refreshed again.
-constexpr std::chrono::seconds token_refresh_interval{4};
 // Long enough for another node, which workers may be able to reach, to be elected.
 constexpr std::chrono::seconds step_down_pause{15};
 constexpr std::chrono::seconds starvation_check_interval{5};
+constexpr std::chrono::seconds fencing_log_interval{60};
 
 Response not_now() {
     return error_response(503, "not now", 1);
@@ -38,13 +36,14 @@
       coroutines_(services.io),
       placement_signal_(services.io),
       acquired_(acquired),
-      record_writer_(services, {cluster_, acquired, [this] { return may_act(); },
+      record_writer_(services, {cluster_, [this] { return may_act(); },
                                 [this] {
                                     placement_signal_.wake();
                                     dispatcher_.dispatch_pending();
-                                }}),
+                                },
+                                [this] { fence_unconfirmed_launches(); }}),
       dispatcher_(services,
-                  {cluster_, acquired, [this] { return may_act(); },
+                  {cluster_, [this] { return may_act(); },
                    [this](std::string name, Task<> duty) { spawn(std::move(name), std::move(duty)); },
                    [this](TimePoint now) { worker_monitor_.worker_answered(now); },
                    [this] { placement_signal_.wake(); }, [this] { wake_writes_if_any(); }}),
@@ -66,6 +65,7 @@
       // Needed even if this leader grants no renewals: the settings of a predecessor may have allowed them.
       renewal_bound_(services.settings.member_names(), renewal_period_, acquired, fencing_token) {
     cluster_.set_fencing_token(fencing_token, acquired);
+    fencing_logged_ = acquired;
     cluster_.set_types(services_.catalog);
     if (!services_.settings.cells) return;
     cell_delegations_ = std::make_unique<CellDelegations>(
@@ -231,9 +231,8 @@
     if (!may_act()) co_return not_entitled();
     auto now = Clock::now();
     worker_monitor_.heartbeat_received(now, direct);
-    auto fencing_token = services_.election.fencing_token();
     if (!recovered_) co_return renew_before_recovery(heartbeat, now);
-    cluster_.set_fencing_token(fencing_token, acquired_);
+    cluster_.set_fencing_token(services_.election.fencing_token(), now);
     bool newer = cluster_.on_heartbeat(heartbeat, true, now);
     auto* m = cluster_.find_machine(heartbeat.machine);
     if (!m) co_return not_entitled();
@@ -248,7 +247,7 @@
     placement_signal_.wake();
     wake_writes_if_any();
     dispatcher_.dispatch_pending();
-    co_return Response{200, wire::worker_heartbeat_answer(fencing_token, commands)};
+    co_return Response{200, wire::worker_heartbeat_answer(m->fencing_token_sent, commands)};
 }
 
 void Leader::lease_renewed(const std::string& machine, TimePoint when) {
@@ -305,19 +304,12 @@
     }
 }
 
-Task<> Leader::refresh_fencing_token() {
-    InFlight refreshing(refreshing_fencing_token_);
-    const bool refreshed = co_await services_.election.refresh_fencing_token();
-    if (refreshed) {
-        cluster_.set_fencing_token(services_.election.fencing_token(), acquired_);
-        for (auto& [name, machine] : cluster_.machines()) {
-            bool unanswered = false;
-            for (auto& [attempt, assignment] : machine->assignments)
-                unanswered |= assignment.launch_unanswered;
-            if (unanswered && !machine->address.empty()) dispatcher_.fence(name);
-        }
+void Leader::fence_unconfirmed_launches() {
+    for (auto& [name, machine] : cluster_.machines()) {
+        const bool unconfirmed = std::any_of(machine->assignments.begin(), machine->assignments.end(),
+                                             [](auto& entry) { return entry.second.launch_unconfirmed(); });
+        if (unconfirmed && !machine->address.empty()) dispatcher_.fence(name);
     }
-    co_await net::sleep_for(token_refresh_interval);
 }
 
 Task<> Leader::tick_loop() {
@@ -327,28 +319,37 @@
         const auto now = Clock::now();
         worker_monitor_.note_delay(due, now);
         if (!may_act()) continue;
-        cluster_.set_fencing_token(services_.election.fencing_token(), acquired_);
+        cluster_.set_fencing_token(services_.election.fencing_token(), now);
         const bool tasks_gone = cluster_.tick(
             now, [&](const std::string& zone) { return renewal_bound_.latest_possible_renewal(zone, now); });
         if (worker_monitor_.check(now) == WorkerMonitor::Contact::lost) {
             services_.election.step_down(step_down_pause);
             co_return;
         }
-        if (cluster_.has_unanswered_launch(now) && !refreshing_fencing_token_ &&
-            services_.state.responsive(now)) {
-            refreshing_fencing_token_ = true;
-            spawn("fencing token refresh", refresh_fencing_token());
-        }
+        if (cluster_.has_unconfirmed_launch(now)) record_writer_.refresh_token_for_launches();
         if (now - starvation_checked_ > starvation_check_interval) {
             starvation_checked_ = now;
             log_starvation(now);
         }
+        if (now - fencing_logged_ > fencing_log_interval) log_fencing(now);
         if (tasks_gone) placement_signal_.wake();
         wake_writes_if_any();
         dispatcher_.dispatch_pending();
     }
 }
 
+// What an operator needs to tell whether late copies of messages do harm.
+void Leader::log_fencing(TimePoint now) {
+    fencing_logged_ = now;
+    const auto& attempts = cluster_.reaped_attempts();
+    spdlog::info(
+        "leader: acts under fencing token {}, its term began with {}; in this term {} refreshes of the "
+        "token, "
+        "{} attempts reaped, {} appeared again, {} transactions refused for a record's version",
+        cluster_.fencing_token(), cluster_.first_fencing_token(), record_writer_.token_refreshes(),
+        attempts.reaped(), attempts.reappeared(), record_writer_.version_conflicts());
+}
+
 void Leader::log_starvation(TimePoint now) {
     using State = placement::StarvationMonitor::State;
     for (auto& finding : cluster_.check_starvation(now)) {
--- a/src/api/leader.hpp
+++ b/src/api/leader.hpp
@@ -82,8 +82,9 @@
     Task<> placement_loop();
     Task<> tick_loop();
     Task<> watch_jobs();
-    Task<> refresh_fencing_token();
+    void fence_unconfirmed_launches();
     void log_starvation(TimePoint now);
+    void log_fencing(TimePoint now);
     void spawn(std::string name, Task<> coroutine) {
         coroutines_.spawn(std::move(name), shared_from_this(), std::move(coroutine));
     }
@@ -97,7 +98,7 @@
     net::CoroutineGroup coroutines_;
     net::Signal placement_signal_;
     TimePoint acquired_;
-    bool recovered_ = false, stopped_ = false, refreshing_fencing_token_ = false;
+    bool recovered_ = false, stopped_ = false;
     RecordWriter record_writer_;
     CommandDispatcher dispatcher_;
     Provisioner provisioner_;
@@ -108,7 +109,7 @@
     // was last renewed.
     std::map<std::string, wire::WorkerHeartbeat> pending_heartbeats_;
     std::map<std::string, TimePoint> renewals_before_recovery_;
-    TimePoint starvation_checked_{};
+    TimePoint starvation_checked_{}, fencing_logged_{};
     const Clock::duration renewal_period_;  // leases::renewal_period
     leases::RenewalBound renewal_bound_;
     std::unique_ptr<CellDelegations> cell_delegations_;
--- a/src/api/record_writer.cpp
+++ b/src/api/record_writer.cpp
@@ -18,6 +18,9 @@
 // How long the write loop sleeps while nothing is pending, or while it must not or cannot write.
 constexpr std::chrono::milliseconds idle_wait{1000}, progress_wait{60}, not_leading_pause{100};
 constexpr std::chrono::milliseconds conflict_pause{50}, refused_pause{100}, token_refresh_pause{200};
+// Every other node is told of a refresh by its watch of the leader key, so that refreshes are bounded.
+// Workers that hold launches of unknown outcome need some time to answer under the new token.
+constexpr std::chrono::seconds refresh_interval_for_reaps{2}, refresh_interval_for_launches{4};
 }  // namespace
 
 bool RecordWriter::progress_due() const {
@@ -27,6 +30,19 @@
            std::max<Clock::duration>(min_progress_interval, min_interval_for_changes);
 }
 
+bool RecordWriter::token_refresh_due() const {
+    const auto now = Clock::now();
+    const auto age = now - token_refreshed_;
+    if (!services_.state.responsive(now)) return false;
+    return (launches_await_token_ && age >= refresh_interval_for_launches) ||
+           (host_.cluster.reaps_await_fencing_token() && age >= refresh_interval_for_reaps);
+}
+
+bool RecordWriter::anything_due() const {
+    return token_refresh_due() || host_.cluster.has_urgent_writes() ||
+           (host_.cluster.has_writes() && progress_due());
+}
+
 void RecordWriter::recovered(const state::Snapshot& records) {
     writer_.recovered("progress/", records.progress);
     writer_.recovered("sheets/", records.shards);
@@ -37,29 +53,31 @@
     auto& cluster = host_.cluster;
     const auto max_operations = max_transaction_operations(services_.settings.placement);
     for (;;) {
-        if (!cluster.has_writes()) co_await signal_.wait(idle_wait);
-        if (!cluster.has_writes()) continue;
-        if (!cluster.has_urgent_writes() && !progress_due()) {
-            co_await signal_.wait(progress_wait);
-            if (!cluster.has_urgent_writes() && !progress_due()) continue;
+        if (!anything_due()) {
+            co_await signal_.wait(cluster.has_writes() ? progress_wait : idle_wait);
+            if (!anything_due()) continue;
         }
         if (!host_.may_act()) {
             co_await net::sleep_for(not_leading_pause);
             continue;
         }
+        const bool refresh = token_refresh_due();
         const bool progress = progress_due();
         if (progress) progress_written_ = Clock::now();
-        auto writes =
-            cluster.take_writes(max_operations, max_transaction_bytes, Clock::now(), wall_ms(), progress);
-        if (!writes.empty()) co_await write(std::move(writes));
+        auto writes = cluster.take_writes(max_operations - refresh, max_transaction_bytes, Clock::now(),
+                                          wall_ms(), progress);
+        if (writes.empty() && !refresh) continue;
+        const auto token = refresh ? FencedWriter::Token::refresh : FencedWriter::Token::keep;
+        co_await write(std::move(writes), token);
     }
 }
 
-Task<> RecordWriter::write(std::vector<placement::Write> writes) {
+Task<> RecordWriter::write(std::vector<placement::Write> writes, FencedWriter::Token token) {
     std::vector<state::Operation> operations;
     for (auto& write : writes) operations.push_back({write.key, write.value, 0});
-    const auto outcome = co_await writer_.write(std::move(operations));
+    const auto outcome = co_await writer_.write(std::move(operations), token);
     if (outcome == Outcome::ok) {
+        if (token == FencedWriter::Token::refresh) token_refreshed();
         for (auto& write : writes)
             if (write.on_durable) write.on_durable();
         host_.on_write();
@@ -69,6 +87,15 @@
     co_await handle_failure(outcome);
 }
 
+void RecordWriter::token_refreshed() {
+    const auto now = Clock::now();
+    ++token_refreshes_;
+    token_refreshed_ = now;
+    launches_await_token_ = false;
+    host_.cluster.set_fencing_token(services_.election.fencing_token(), now);
+    host_.on_token_refresh();
+}
+
 Task<> RecordWriter::handle_failure(Outcome outcome) {
     if (outcome != Outcome::conflict && outcome != Outcome::refused) {
         co_await fence_unknown_write();
@@ -90,7 +117,7 @@
         if (refreshed) break;
         co_await net::sleep_for(token_refresh_pause);
     }
-    host_.cluster.set_fencing_token(services_.election.fencing_token(), host_.acquired);
+    host_.cluster.set_fencing_token(services_.election.fencing_token(), Clock::now());
 }
 
 }  // namespace barrowrun::api
--- a/src/api/record_writer.hpp
+++ b/src/api/record_writer.hpp
@@ -9,15 +9,16 @@
 
 namespace barrowrun::api {
 
-// Each term has one record writer, the only component that writes the scheduler's records. The version of the
-// leader key is a precondition of every transaction, so the state service rejects those of a former leader.
+// Each term has one record writer, the only component that writes the scheduler's records. It also refreshes
+// the fencing token when workers need a newer one: with its own transactions, which a separate write of the
+// leader key would fence.
 class RecordWriter {
   public:
     struct Host {
         placement::Cluster& cluster;
-        TimePoint acquired;              // when the term began
-        std::function<bool()> may_act;   // whether this node holds a valid leader lease now
-        std::function<void()> on_write;  // called after each durable transaction
+        std::function<bool()> may_act;           // whether this node holds a valid leader lease now
+        std::function<void()> on_write;          // called after each durable transaction
+        std::function<void()> on_token_refresh;  // called when this writer has refreshed the fencing token
     };
     RecordWriter(Services services, Host host)
         : services_(services), host_(std::move(host)), writer_(services), signal_(services.io) {}
@@ -27,13 +28,20 @@
 
     // Interrupts the wait for pending records.
     void wake() { signal_.wake(); }
+    // Asks for a newer fencing token, which voids launches of unknown outcome that were sent under this one.
+    void refresh_token_for_launches() { launches_await_token_ = true; }
+    std::uint64_t token_refreshes() const { return token_refreshes_; }
+    std::uint64_t version_conflicts() const { return writer_.version_conflicts(); }
     // Write loop, runs until the term ends. Scheduler state and leadership may change at each suspension, so
     // both are checked again before the next transaction is assembled.
     net::Task<> run();
 
   private:
     bool progress_due() const;
-    net::Task<> write(std::vector<placement::Write> writes);
+    bool token_refresh_due() const;
+    bool anything_due() const;
+    net::Task<> write(std::vector<placement::Write> writes, FencedWriter::Token token);
+    void token_refreshed();
     net::Task<> handle_failure(state::Outcome outcome);
     net::Task<> fence_unknown_write();
 
@@ -41,6 +49,9 @@
     Host host_;
     FencedWriter writer_;
     net::Signal signal_;
+    bool launches_await_token_ = false;
+    TimePoint token_refreshed_{};  // when a transaction last refreshed the token
+    std::uint64_t token_refreshes_ = 0;
     TimePoint progress_written_{};  // when a transaction last included progress of running jobs
 };
 
--- a/src/api/recovery.cpp
+++ b/src/api/recovery.cpp
@@ -25,6 +25,8 @@
     if (cell_delegations_) co_await read_delegation_records();
     const auto records = co_await read_snapshot();
     record_writer_.recovered(records);
+    spdlog::info("recovery: records read at revision {} under fencing token {}", records.jobs.revision,
+                 services_.election.fencing_token());
     co_await quotas_.recover();
     watch_revision_ = records.jobs.revision;
     co_await recover_catalog();
--- a/src/election/election.cpp
+++ b/src/election/election.cpp
@@ -141,14 +141,29 @@
         spdlog::info("node {}: is the leader, fencing token {}", record.node, version);
     leader_name_ = record.node;
     leader_incarnation_ = record.incarnation;
-    auto change = co_await state_.watch(state::leader_key, revision, watch_duration, state::Throttle::exempt);
-    if (!change.ok) {
-        co_await net::sleep_for(retry_pause);
-        co_return;
+    // The leader rewrites its key whenever it refreshes its fencing token: the watch then goes on.
+    for (bool same_leader = true; same_leader;) {
+        auto change =
+            co_await state_.watch(state::leader_key, revision, watch_duration, state::Throttle::exempt);
+        if (!change.ok) {
+            co_await net::sleep_for(retry_pause);
+            co_return;
+        }
+        revision = change.revision;
+        same_leader = !change.events.empty() && is_led_by(change.events, record.incarnation);
     }
-    for (auto& event : change.events)
-        if (event.key == state::leader_key && !event.value)
+}
+
+// Whether all of the changes were made by the process that leads.
+bool Election::is_led_by(const std::vector<state::Event>& changes, const std::string& incarnation) const {
+    for (auto& event : changes) {
+        if (event.key != state::leader_key) continue;
+        if (!event.value)
             spdlog::info("node {}: is no longer the leader, its leader key was deleted", leader_name_);
+        const auto current = event.value ? state::parse_leader_record(*event.value) : std::nullopt;
+        if (!current || current->incarnation != incarnation) return false;
+    }
+    return true;
 }
 
 Task<bool> Election::start_leading(std::uint64_t fencing_token) {
@@ -241,6 +256,13 @@
     co_return false;
 }
 
+void Election::token_refreshed(std::uint64_t fencing_token) {
+    // The key may have been read back meanwhile.
+    if (!leader_ || fencing_token <= key_.fencing_token()) return;
+    key_.refreshed(fencing_token);
+    spdlog::debug("node {}: refreshed its fencing token with a transaction, now {}", node_, fencing_token);
+}
+
 void Election::suspect_lost_leadership() {
     leadership_suspect_ = true;
     wake_.wake();
--- a/src/election/election.hpp
+++ b/src/election/election.hpp
@@ -56,6 +56,10 @@
     // under the old token are refused from then on. Returns false if the token did not change, or if another
     // coroutine changed it.
     Task<bool> refresh_fencing_token();
+    // For a writer whose transaction refreshes the token as well, so that the two don't fence each other: the
+    // operation to add, and the result once the transaction was executed.
+    state::Operation token_refresh() const { return key_.refresh_operation(); }
+    void token_refreshed(std::uint64_t fencing_token);
     // Precondition that each write of the leader must carry.
     state::Precondition fencing_precondition() const { return {state::leader_key, key_.fencing_token()}; }
     // Reports that a write was refused because of its fencing token; `lead` then reads the leader key back.
@@ -84,6 +88,7 @@
     Task<> revoke_predecessor(state::LeaderRecord record);
     Task<> resume(state::LeaderRecord record, std::uint64_t version);
     Task<> watch_leader(state::LeaderRecord record, std::uint64_t version, std::uint64_t revision);
+    bool is_led_by(const std::vector<state::Event>& changes, const std::string& incarnation) const;
     // Becomes the leader under the token if the lease can be extended; otherwise returns false.
     Task<bool> start_leading(std::uint64_t fencing_token);
     void become_leader(std::uint64_t fencing_token, TimePoint sent);
--- a/src/election/leader_key.cpp
+++ b/src/election/leader_key.cpp
@@ -33,11 +33,19 @@
     return write(fencing_token_, refresh_count_ + 1, refresh_deadline);
 }
 
+state::Operation LeaderKey::refresh_operation() const {
+    return write_operation(refresh_count_ + 1);
+}
+
+state::Operation LeaderKey::write_operation(std::uint64_t refresh_count) const {
+    state::LeaderRecord record{node_, incarnation_, lease_id_, refresh_count};
+    return {state::leader_key, state::to_json(record), lease_id_};
+}
+
 Task<state::CompareAndSwapResult> LeaderKey::write(std::uint64_t expected_version,
                                                    std::uint64_t refresh_count, Clock::duration deadline) {
-    state::LeaderRecord record{node_, incarnation_, lease_id_, refresh_count};
     std::vector<state::Precondition> preconditions{{state::leader_key, expected_version}};
-    std::vector<state::Operation> operations{{state::leader_key, state::to_json(record), lease_id_}};
+    std::vector<state::Operation> operations{write_operation(refresh_count)};
     auto result = co_await state_.compare_and_swap(std::move(preconditions), std::move(operations), deadline,
                                                    Throttle::exempt);
     co_return result;
--- a/src/election/leader_key.hpp
+++ b/src/election/leader_key.hpp
@@ -36,6 +36,8 @@
     // Rewrites the key in the same term to get a new fencing token. This object does not change before
     // `refreshed` is called.
     Task<state::CompareAndSwapResult> write_refresh();
+    // The same write, as an operation of a transaction that has the token as a precondition.
+    state::Operation refresh_operation() const;
     // Adopts the token of a successful refresh; the caller has checked that the term has not ended.
     void refreshed(std::uint64_t fencing_token);
     // Whether the key is gone or belongs to another process. If the key belongs to this process and is newer
@@ -46,6 +48,7 @@
     Task<state::Outcome> revoke_lease();
 
   private:
+    state::Operation write_operation(std::uint64_t refresh_count) const;
     Task<state::CompareAndSwapResult> write(std::uint64_t expected_version, std::uint64_t refresh_count,
                                             Clock::duration deadline);
 
--- a/src/fleet/assignment.hpp
+++ b/src/fleet/assignment.hpp
@@ -9,6 +9,12 @@
 
 namespace barrowrun::fleet {
 
+// An attempt's number is the first fencing token of its leader's term, followed by a counter of these bits.
+inline constexpr int attempt_counter_bits = 20;
+inline std::uint64_t first_attempt_number(std::uint64_t first_fencing_token) {
+    return first_fencing_token << attempt_counter_bits;
+}
+
 // Progress of the start of an attempt.
 enum class AssignmentPhase {
     recording,  // its record is being written; no launch was sent
@@ -22,8 +28,11 @@
 
 struct Assignment {
     AssignmentPhase phase = AssignmentPhase::recording;
-    std::uint64_t sent_fencing_token = 0;  // highest token of a launch that may still be delivered
-    bool in_flight = false;                // a push with the launch is neither answered nor timed out
+    // Highest fencing token under which its launch was sent to /commands; 0: it was not. The worker may
+    // execute the launch, or a late copy of it, until it has seen a higher token. Of a previous leader's
+    // launch it is only known that the token was below this term's.
+    std::uint64_t direct_launch_token = 0;
+    bool in_flight = false;          // a push with the launch is neither answered nor timed out
     bool launch_unanswered = false;  // a push got no answer; the worker may execute it at any later time
     std::uint64_t reply_seq = 0;
     // The latest agent epoch in which the attempt may be on the machine: that of the launches sent for it, of
@@ -54,10 +63,14 @@
     bool may_have_been_sent() const {
         return phase != AssignmentPhase::recording && phase != AssignmentPhase::ready;
     }
-    // Whether no push of the launch can be executed any more. A push without an answer may still be executed
-    // as long as the worker has seen no token higher than that of the push.
-    bool launch_settled(std::uint64_t worker_token) const {
-        return !in_flight && (!launch_unanswered || worker_token > sent_fencing_token);
+    // Whether a launch was sent to /commands of which it is not known whether the worker executed it.
+    bool launch_unconfirmed() const {
+        return !in_flight && (launch_unanswered || phase == AssignmentPhase::pushed);
+    }
+    // Whether a worker that has seen the token refuses every push of the launch. An answer to a push does not
+    // void it: a copy may arrive at any later time.
+    bool launch_is_void(std::uint64_t worker_token) const {
+        return !in_flight && (direct_launch_token == 0 || worker_token > direct_launch_token);
     }
 };
 
--- a/src/fleet/evidence.cpp
+++ b/src/fleet/evidence.cpp
@@ -23,8 +23,8 @@
 std::optional<GoneEvidence> evidence_of_absence(const Assignment& assignment,
                                                 const wire::WorkerHeartbeat& heartbeat,
                                                 bool from_heartbeat_route, std::uint64_t own_fencing_token) {
-    const auto if_settled = [&](GoneEvidence evidence) -> std::optional<GoneEvidence> {
-        if (!assignment.launch_settled(heartbeat.fencing_token)) return std::nullopt;
+    const auto if_launch_is_void = [&](GoneEvidence evidence) -> std::optional<GoneEvidence> {
+        if (!assignment.launch_is_void(heartbeat.fencing_token)) return std::nullopt;
         return evidence;
     };
     // An agent epoch ends with all its attempts, and launches name the epoch for which they are meant.
@@ -38,20 +38,23 @@
         case AssignmentPhase::ready:
             return std::nullopt;
         case AssignmentPhase::pushed:
-            return if_settled(GoneEvidence::launch_void);
+            return if_launch_is_void(GoneEvidence::launch_void);
         case AssignmentPhase::replied:
             // The worker has one heartbeat in flight at a time: the next one shows whether the response to
             // the previous one was received or dropped.
             if (!from_heartbeat_route || heartbeat.seq <= assignment.reply_seq) return std::nullopt;
-            return if_settled(GoneEvidence::launch_void);
+            return if_launch_is_void(GoneEvidence::launch_void);
         case AssignmentPhase::recovered:
             // Launches of the previous leader are void once the worker has seen this leader's fencing token.
             if (heartbeat.fencing_token < own_fencing_token) return std::nullopt;
             return GoneEvidence::worker_knows_token;
         case AssignmentPhase::confirmed:
-            // Listed before and missing now in the same agent epoch. A delayed push could still start it
-            // again.
-            return if_settled(GoneEvidence::reaped);
+            // Listed before and missing now in the same agent epoch. This leader reaps only what no push can
+            // start again, unless the push got no answer; earlier versions reaped it under any token.
+            if (assignment.direct_launch_token >= own_fencing_token && !assignment.in_flight &&
+                !assignment.launch_unanswered)
+                return GoneEvidence::reaped;
+            return if_launch_is_void(GoneEvidence::reaped);
     }
     return std::nullopt;
 }
--- a/src/fleet/evidence.hpp
+++ b/src/fleet/evidence.hpp
@@ -26,7 +26,8 @@
 
 // An event in the life of an attempt on its machine.
 struct AssignmentChange {
-    enum Kind { confirmed, started, ended, lost } kind;
+    // reappeared: a heartbeat lists an attempt that this leader launched and had taken for gone or reaped.
+    enum Kind { confirmed, started, ended, lost, reappeared } kind;
     wire::Attempt attempt;
     Assignment assignment;                 // last known state
     std::optional<GoneEvidence> evidence;  // only for `lost`
--- a/src/fleet/machine.cpp
+++ b/src/fleet/machine.cpp
@@ -86,7 +86,7 @@
     return std::none_of(assignments.begin(), assignments.end(), [&](auto& kv) {
         auto& e = kv.second;
         return e.stop_requested && (e.launch_unanswered || e.in_flight) &&
-               fencing_token_seen <= e.sent_fencing_token && now >= e.stop_at + keep;
+               fencing_token_seen <= e.direct_launch_token && now >= e.stop_at + keep;
     });
 }
 
@@ -113,6 +113,8 @@
         assignment.ended_at = now;
         changes.push_back({AssignmentChange::ended, status.attempt, assignment, {}});
     }
+    if (was_exited && status.state != TaskState::exited)
+        changes.push_back({AssignmentChange::reappeared, status.attempt, assignment, {}});
 }
 
 bool kill_is_due(const Assignment& assignment, TimePoint now) {
@@ -163,6 +165,13 @@
     for (auto& status : heartbeat.tasks) {
         auto [it, is_new] = assignments.try_emplace(status.attempt);
         update(it->second, is_new, status, agent_epoch, now, changes);
+        if (!is_new) continue;
+        if (status.attempt.number <= first_attempt_number(own_fencing_token)) {
+            it->second.direct_launch_token = own_fencing_token - 1;
+        } else {
+            it->second.direct_launch_token = fencing_token_sent;
+            changes.push_back({AssignmentChange::reappeared, status.attempt, it->second, {}});
+        }
     }
     remove_gone(heartbeat, from_heartbeat_route, own_fencing_token, changes);
     return true;
@@ -186,16 +195,27 @@
     }
 }
 
-std::vector<wire::Command> Machine::commands(
-    TimePoint now, bool launches,
-    const std::function<bool(const wire::Attempt&, const Assignment&)>& may_reap) const {
+Machine::LaunchesToVoid Machine::launches_to_void(const MayReap& may_reap) const {
+    LaunchesToVoid tokens;
+    for (auto& [attempt, assignment] : assignments) {
+        const auto token = assignment.direct_launch_token;
+        if (assignment.exited() && !assignment.in_flight && may_reap(attempt, assignment))
+            tokens.reapable = std::max(tokens.reapable, token);
+        else if (assignment.launch_unconfirmed())
+            tokens.unlisted = std::max(tokens.unlisted, token);
+    }
+    return tokens;
+}
+
+std::vector<wire::Command> Machine::commands(TimePoint now, bool launches, const MayReap& may_reap) const {
     std::vector<wire::Command> out;
     for (auto& [attempt, assignment] : assignments) {
         if (kill_is_due(assignment, now)) {
             out.push_back({wire::Verb::kill, attempt, assignment.grace_s});
         } else if (assignment.exited()) {
-            // A delayed launch would start a reaped attempt again: reap only when no launch can be in flight.
-            if (assignment.launch_settled(fencing_token_seen) && may_reap(attempt, assignment))
+            // A late copy of its launch would start a reaped attempt again: the worker must refuse the copy
+            // by the time it has forgotten the attempt.
+            if (assignment.launch_is_void(fencing_token_sent) && may_reap(attempt, assignment))
                 out.push_back({wire::Verb::reap, attempt, 0});
         } else if (launches && launch_is_due(assignment)) {
             out.push_back({wire::Verb::launch, attempt, 0});
--- a/src/fleet/machine.hpp
+++ b/src/fleet/machine.hpp
@@ -23,8 +23,10 @@
   public:
     std::string name, address, type, zone;
     bool spot = false;
-    std::uint64_t agent_epoch = 0, seq = 0, fencing_token_seen = 0;
-    bool up = false;                           // this leader has received a heartbeat from its worker
+    std::uint64_t agent_epoch = 0, seq = 0;
+    std::uint64_t fencing_token_seen = 0;  // highest token that its heartbeats have shown
+    std::uint64_t fencing_token_sent = 0;  // highest token under which this leader has written to its worker
+    bool up = false;                       // this leader has received a heartbeat from its worker
     std::optional<TimePoint> spot_reclaim_at;  // spot notice: nominal time of reclaim by the cloud
     TimePoint known_since{}, provisioned_at{}, last_heartbeat{}, last_answer{}, idle_since{}, last_probe{};
     TimePoint agent_epoch_known{};  // when the leader first heard of the agent epoch, which began no later
@@ -91,10 +93,16 @@
     // that the worker accepts: only the end of the agent epoch voids such a launch for certain, so the lease
     // has to expire.
     bool may_renew(TimePoint now, Clock::duration keep) const;
-    // Returns the commands for the worker; launches are included only if `launches` is set.
-    std::vector<wire::Command> commands(
-        TimePoint now, bool launches,
-        const std::function<bool(const wire::Attempt&, const Assignment&)>& may_reap) const;
+    // Returns the commands for the worker in a message under `fencing_token_sent`; launches are included only
+    // if `launches` is set. Attempts whose launch this token does not void are not reaped.
+    using MayReap = std::function<bool(const wire::Attempt&, const Assignment&)>;
+    std::vector<wire::Command> commands(TimePoint now, bool launches, const MayReap& may_reap) const;
+    // Highest tokens of launches that a message to the worker should void; 0: of none.
+    struct LaunchesToVoid {
+        std::uint64_t unlisted = 0;  // of attempts that the worker may still start, or has started unseen
+        std::uint64_t reapable = 0;  // of exited attempts that may be reaped
+    };
+    LaunchesToVoid launches_to_void(const MayReap& may_reap) const;
 
   private:
     // Removes the attempts of which the heartbeat proves that they are gone; those that had not exited are
--- a/src/placement/attempts.cpp
+++ b/src/placement/attempts.cpp
@@ -26,6 +26,10 @@
                     first_retry_s * std::pow(2.0, std::min(consecutive_errors, max_retry_doublings)));
 }
 
+bool is_refusal(wire::Cause cause) {
+    return cause == wire::Cause::no_room || cause == wire::Cause::busy || cause == wire::Cause::unknown;
+}
+
 // Logs on which evidence the attempts are taken for gone.
 void log_lost_attempts(const Machine& machine, const std::vector<AssignmentChange>& changes) {
     for (auto& change : changes)
@@ -93,6 +97,7 @@
         Assignment e;
         e.phase = AssignmentPhase::recovered;
         e.agent_epoch = record.agent_epoch;
+        e.direct_launch_token = tokens_.first() - 1;
         e.placed_at = now;
         Job* job = find_job(a.task.job);
         if (job) {
@@ -157,7 +162,7 @@
     const auto old_agent_epoch = m.agent_epoch;
     std::string old_address = m.address;
     std::vector<AssignmentChange> changes;
-    if (!m.apply_heartbeat(heartbeat, from_heartbeat_route, first_fencing_token_, now, changes)) return false;
+    if (!m.apply_heartbeat(heartbeat, from_heartbeat_route, tokens_.first(), now, changes)) return false;
     if (first_heartbeat) {
         if (m.type.empty()) {
             m.type = heartbeat.type, m.zone = heartbeat.zone, m.spot = heartbeat.spot;
@@ -213,6 +218,9 @@
             case AssignmentChange::ended:
                 on_attempt_ended(m, c.attempt, c.assignment, now);
                 break;
+            case AssignmentChange::reappeared:
+                on_attempt_reappeared(m, c.attempt, now);
+                break;
             case AssignmentChange::lost:
                 if (!job) break;
                 unplace(*job, index, m.name, c.attempt.number);
@@ -223,6 +231,31 @@
     }
 }
 
+// An attempt that this leader launched and had taken for gone is there again: a late copy of its launch was
+// executed. Its task may have another attempt by now, and the work of both may have been damaged: all end.
+void Cluster::on_attempt_reappeared(Machine& m, const Attempt& a, TimePoint now) {
+    reaped_.log_reappearance(a, m, now);
+    // A copy that the worker refused has started nothing.
+    auto& reappeared = m.assignments.at(a);
+    if (is_refusal(reappeared.cause)) return;
+    Job* job = find_job(a.task.job);
+    if (job && a.task.index >= job->spec.tasks) job = nullptr;
+    if (job && !reappeared.exited()) occupy(*job, a, reappeared, m);
+    auto stop = [&](const std::string& name, const Attempt& attempt) {
+        Machine* host = find_machine(name);
+        if (!host) return;
+        auto it = host->assignments.find(attempt);
+        if (it != host->assignments.end())
+            request_stop(*host, attempt, it->second, 0, now, "a late copy of a launch was executed");
+    };
+    stop(m.name, a);
+    if (!job) return;
+    if (job->spec.kind == JobKind::gang && !job->finished())
+        stop_gang(*job, 0, now, "a late copy of a launch of its gang was executed");
+    if (auto it = job->placements.find(a.task.index); it != job->placements.end())
+        for (auto& [name, number] : it->second) stop(name, {a.task, number});
+}
+
 void Cluster::on_attempt_ended(Machine& m, const Attempt& a, const Assignment& e, TimePoint now) {
     mark_command_pending(m.name);
     Job* job = find_job(a.task.job);
@@ -307,7 +340,7 @@
                 // A delayed heartbeat of a machine that a predecessor returned may list ended attempts: only
                 // a machine that has reported a token of this leader's term is known to run them now.
                 if (o != other->assignments.end() && o->second.phase == AssignmentPhase::confirmed &&
-                    !o->second.exited() && other->fencing_token_seen >= first_fencing_token_ &&
+                    !o->second.exited() && other->fencing_token_seen >= tokens_.first() &&
                     number < a.number) {
                     spdlog::error("task {}: runs on machine {} and on machine {}; the latter is stopped",
                                   a.task.str(), name, m.name);
--- a/src/placement/cluster.hpp
+++ b/src/placement/cluster.hpp
@@ -12,8 +12,12 @@
 #include <vector>
 
 #include "fleet/assignment_shards.hpp"
+#include "fleet/command_tokens.hpp"
 #include "fleet/machine.hpp"
+#include "fleet/reaped_attempts.hpp"
 #include "placement/capacity_index.hpp"
+#include "placement/config.hpp"
+#include "placement/job.hpp"
 #include "placement/starvation_monitor.hpp"
 #include "queue/job_queue.hpp"
 #include "quota/reclaim.hpp"
@@ -28,87 +32,6 @@
 using wire::Attempt;
 using wire::TaskId;
 
-struct TeamLimits {
-    double cpus = 0, gpus = 0;          // guarantee; 0: none
-    double cpus_max = 0, gpus_max = 0;  // limit; 0: none
-};
-
-// The guarantees and limits of the platform's teams in the form that the quota tree is built from.
-std::vector<quota::TeamQuota> quota_teams(const std::map<std::string, TeamLimits>& teams);
-
-struct ServiceLevelObjective {
-    std::string kind, job_class;
-    double within_s = 0, times = 1;
-};
-
-struct Config {
-    double heartbeat_s = 3, lease_s = 20, gang_wait_s = 30, gang_peer_s = 4, cancel_s = 30;
-    std::map<std::string, TeamLimits> teams;
-    std::vector<ServiceLevelObjective> objectives;
-    std::uint64_t queue_bound = queue::default_max_waiting_tasks;
-    std::size_t txn_ops = 16, value_bytes = 32 * 1024;
-    // The operator's quota tree; absent: only the platform's team limits apply.
-    std::optional<std::vector<quota::QuotaEntry>> quotas;
-    double over_limit_grace_s = 120;  // the default of quota::VersionedQuotas; set_quotas() replaces it
-    double idle_return_s = 12;
-    std::uint32_t headroom_min = 3, headroom_max = 16;
-};
-
-struct Job {
-    wire::JobSpec spec;
-    std::int64_t accepted_ms = 0;
-    quota::NodeId account = quota::root;
-    std::string shape;  // requirements of a task, as a key: jobs of one shape fit the same machines
-    std::uint32_t shape_number = 0;
-    std::vector<const ServiceLevelObjective*> objectives;  // of the job's class
-    // The machine classes that the job may use, and the number of classes when this list was built.
-    std::vector<const CapacityIndex::MachineClass*> candidate_classes;
-    std::uint64_t candidate_class_count = 0;
-    TimePoint accepted{};
-    IndexSet waiting, done, durable_done;
-    bool cancelled = false, cancel_durable = false;
-    // Tasks delegated to executor cells (src/cells): they are neither queued nor started here.
-    IndexSet delegated;
-    // The job belongs to an origin cell and only a shard of it was delegated to this one: tasks outside the
-    // shard count as done here, and this cluster does not write the job's records.
-    bool runs_for_origin_cell = false;
-    bool failed = false;  // cancelled because a task failed more often than the job allows
-    bool write_pending = false, progress_written = false;
-    // A write that changes the job state shown to users is in flight, or has had no reply: other nodes may
-    // already read the new record. Until the outcome is known, no request is answered from memory.
-    bool write_in_flight = false, write_unanswered = false;
-    bool write_outcome_unknown() const { return write_in_flight || write_unanswered; }
-    bool fully_scheduled = false;  // every task has been started at least once
-    bool start_overdue = false;    // by the last check_starvation(): overdue, and not fully scheduled
-    // By task index: each machine and attempt number that may exist for the task. A task is started only
-    // while it has no entry.
-    std::unordered_map<std::uint32_t, std::vector<std::pair<std::string, std::uint64_t>>> placements;
-    TimePoint retry_at{};
-    int consecutive_errors = 0;
-    std::set<std::string> failed_machines;  // names of machines on which a task failed
-    // For a job that limits its retries: the failure count of each task, and the tasks whose count is not
-    // recorded yet. Until the count is recorded, the worker keeps the failed attempt and the task is not
-    // restarted, so that a successor counts each failure exactly once.
-    std::map<std::uint32_t, state::TaskFailures> errors;
-    std::set<std::uint32_t> unrecorded_errors;
-    std::optional<wire::ErrorCount> error_count;
-    double total_run_s = 0;  // total run time of the measured tasks, in seconds
-    int measured_runs = 0;   // number of measured tasks
-
-    bool finished() const { return done.size() == spec.tasks; }
-    wire::JobState job_state() const;
-    std::uint64_t running() const { return placements.size(); }
-    // Estimated run time of a task: the mean of the finished ones, or the owner's estimate until two have
-    // finished.
-    double estimated_run_s() const {
-        return measured_runs >= 2 ? total_run_s / measured_runs : std::max(1.0, spec.estimate_s);
-    }
-};
-
-// Whether a task of the job fits an empty machine of the type, or of one of the types.
-bool fits_type(const wire::JobSpec& spec, const wire::MachineType& type);
-bool fits_some_type(const wire::JobSpec& spec, const std::vector<wire::MachineType>& types);
-
 // A record to write or delete in a transaction, and the callback to run once the write is durable.
 struct Write {
     std::string key;
@@ -142,12 +65,16 @@
     void set_types(std::vector<wire::MachineType> types);
     const std::map<std::string, wire::MachineType>& types() const { return types_; }
 
-    // Sets the fencing token that commands carry. The first call also sets when this leader's term began.
-    void set_fencing_token(std::uint64_t fencing_token, TimePoint acquired) {
-        fencing_token_ = fencing_token;
-        if (acquired_ == TimePoint{}) acquired_ = acquired, first_fencing_token_ = fencing_token;
+    // Sets the fencing token that this leader holds now. The first call begins its term, at `now`.
+    void set_fencing_token(std::uint64_t fencing_token, TimePoint now) {
+        tokens_.obtained(fencing_token, now);
+        if (acquired_ == TimePoint{}) acquired_ = now;
     }
-    std::uint64_t fencing_token() const { return fencing_token_; }
+    std::uint64_t fencing_token() const { return tokens_.current(); }
+    std::uint64_t first_fencing_token() const { return tokens_.first(); }
+    // Whether exited attempts wait for a newer fencing token before they can be reaped.
+    bool reaps_await_fencing_token() const { return tokens_.refresh_wanted(); }
+    const fleet::ReapedAttempts& reaped_attempts() const { return reaped_; }
     TimePoint acquired() const { return acquired_; }
 
     // Replaces the quota tree. `changed`: when a limit was last lowered, perhaps by a predecessor. Tasks
@@ -214,7 +141,8 @@
     bool on_heartbeat(const wire::WorkerHeartbeat& heartbeat, bool from_heartbeat_route, TimePoint now);
     // Commands for the response to a heartbeat or for a push; launches among them are marked as sent.
     // Without `all` the response carries only kills. A response renews the lease of every task on the
-    // machine, so the pending kills go with each one.
+    // machine, so the pending kills go with each one. The message is to be sent under the machine's
+    // `fencing_token_sent`, which is set here.
     std::vector<wire::Command> reply_commands(Machine& m, TimePoint now, bool all = true);
     std::vector<wire::Command> push_commands(Machine& m, TimePoint now);
     void push_answered(Machine& m, const std::vector<wire::Command>& sent, std::uint64_t fencing_token,
@@ -257,7 +185,9 @@
     }
     bool eligible(const wire::JobSpec& spec, const std::string& type, const std::string& zone,
                   bool spot) const;
-    bool has_unanswered_launch(TimePoint now) const;  // a launch push has been unanswered for too long
+    // Whether it has been unknown for too long if a launch was executed that was sent under the current
+    // token.
+    bool has_unconfirmed_launch(TimePoint now) const;
     bool is_gpu_reserved(const wire::JobSpec& spec, const wire::MachineType& type) const;
     std::set<std::string> take_machines_with_commands() {
         return std::exchange(machines_with_commands_, {});
@@ -281,6 +211,7 @@
 
   private:
     void apply_changes(Machine& m, const std::vector<fleet::AssignmentChange>& changes, TimePoint now);
+    void on_attempt_reappeared(Machine& m, const Attempt& a, TimePoint now);
     void on_attempt_ended(Machine& m, const Attempt& a, const Assignment& e, TimePoint now);
     void unplace(Job& job, std::uint32_t index, const std::string& machine, std::uint64_t attempt);
     void set_waiting(Job& job, std::uint32_t index, bool waiting);
@@ -327,6 +258,7 @@
     state::MachineRecord record_of(const Machine& m, TimePoint now, std::int64_t wall_ms) const;
     std::size_t max_tasks_per_machine() const;  // bounded so that a machine's record fits one value
     void drop_unsent_starts(Machine& m);
+    std::vector<wire::Command> commands(Machine& m, bool launches, bool reaps, TimePoint now);
     void place_task(Job& job, std::uint32_t index, Machine& m, std::uint64_t attempt, TimePoint now);
     bool place_gang(Job& job, TimePoint now);
     struct PreemptionResult {
@@ -343,7 +275,7 @@
     bool passes_failure_check(const Machine& m, const Job& job, TimePoint now) const;
     bool may_reap(const Attempt& a, const Assignment& e) const;
     double grace_for(const Job& job) const { return job.spec.checkpoint_s > 0 ? job.spec.save_s + 1.0 : 0.0; }
-    std::uint64_t next_attempt() { return (first_fencing_token_ << 20) + ++attempts_; }
+    std::uint64_t next_attempt() { return fleet::first_attempt_number(tokens_.first()) + ++attempts_; }
 
     // Whether all tasks of the job should have started by now and the job's limits would have allowed it.
     bool start_is_overdue(const Job& job, TimePoint now) const;
@@ -362,7 +294,9 @@
     std::vector<std::pair<quota::NodeId, wire::Resources>> reclaim_charges_;
     TimePoint quotas_changed_{};
     double over_limit_grace_s_ = 120;
-    std::uint64_t fencing_token_ = 0, first_fencing_token_ = 0, attempts_ = 0;
+    fleet::CommandTokens tokens_;
+    fleet::ReapedAttempts reaped_;
+    std::uint64_t attempts_ = 0;
     TimePoint acquired_{}, starts_deferred_until_{};
     CapacityIndex capacity_index_;
     std::vector<Machine*> reserved_;  // machines with a reservation in the current round
--- a/src/placement/commands.cpp
+++ b/src/placement/commands.cpp
@@ -1,4 +1,6 @@
 // Commands to workers: which are sent, and what their answers settle.
+#include <spdlog/spdlog.h>
+
 #include "placement/cluster.hpp"
 
 namespace barrowrun::placement {
@@ -7,8 +9,9 @@
 namespace {
 // Responses and heartbeats are limited to 64 KiB each; more commands would not fit.
 constexpr std::size_t max_commands_per_push = 300;
-// A launch push without a reply is settled by a new fencing token after this, unless a heartbeat settles it.
-constexpr double unanswered_launch_s = 3;
+// A launch push of unknown outcome is voided by a new fencing token after this, unless a heartbeat settles
+// it.
+constexpr double unconfirmed_launch_s = 3;
 }  // namespace
 
 bool Cluster::may_reap(const Attempt& a, const Assignment& e) const {
@@ -33,11 +36,24 @@
     }
 }
 
-std::vector<wire::Command> Cluster::reply_commands(Machine& m, TimePoint now, bool all) {
+std::vector<wire::Command> Cluster::commands(Machine& m, bool launches, bool reaps, TimePoint now) {
     drop_unsent_starts(m);
+    const auto reapable = [&](auto& a, auto& e) { return reaps && may_reap(a, e); };
+    tokens_.choose_for(m, m.launches_to_void(reapable), now);
+    auto out = m.commands(now, launches, reapable);
+    for (auto& c : out) {
+        if (c.verb != wire::Verb::reap) continue;
+        reaped_.add(c.attempt, m.name, m.fencing_token_sent, now);
+        spdlog::debug("task {}: attempt {} is reaped on machine {} under fencing token {}, its launch has {}",
+                      c.attempt.task.str(), c.attempt.number, m.name, m.fencing_token_sent,
+                      m.assignments.at(c.attempt).direct_launch_token);
+    }
+    return out;
+}
+
+std::vector<wire::Command> Cluster::reply_commands(Machine& m, TimePoint now, bool all) {
     // Launches are pushed to workers whose address answers; only the other workers get them in a response.
-    auto out =
-        m.commands(now, all && !m.push_reachable, [&](auto& a, auto& e) { return all && may_reap(a, e); });
+    auto out = commands(m, all && !m.push_reachable, all, now);
     for (auto& c : out)
         if (c.verb == wire::Verb::launch) {
             Assignment& e = m.assignments.at(c.attempt);
@@ -49,15 +65,14 @@
 }
 
 std::vector<wire::Command> Cluster::push_commands(Machine& m, TimePoint now) {
-    drop_unsent_starts(m);
-    auto out = m.commands(now, true, [this](auto& a, auto& e) { return may_reap(a, e); });
+    auto out = commands(m, true, true, now);
     if (out.size() > max_commands_per_push) out.resize(max_commands_per_push);
     for (auto& c : out)
         if (c.verb == wire::Verb::launch) {
             Assignment& e = m.assignments.at(c.attempt);
             e.phase = AssignmentPhase::pushed;
             e.in_flight = true;
-            e.sent_fencing_token = fencing_token_;
+            e.direct_launch_token = m.fencing_token_sent;
             e.agent_epoch = m.agent_epoch;
         }
     return out;
@@ -74,19 +89,19 @@
         if (executed) continue;  // settled by the heartbeat in the reply
         if (may_execute) {
             e.launch_unanswered = true;
-            e.sent_fencing_token = std::max(e.sent_fencing_token, fencing_token);
+            e.direct_launch_token = std::max(e.direct_launch_token, fencing_token);
         } else if (e.phase == AssignmentPhase::pushed && !e.launch_unanswered) {
             e.phase = AssignmentPhase::ready;
+            e.direct_launch_token = 0;
         }
     }
 }
 
-bool Cluster::has_unanswered_launch(TimePoint now) const {
+bool Cluster::has_unconfirmed_launch(TimePoint now) const {
     for (auto& [name, m] : machines_)
         for (auto& [a, e] : m->assignments)
-            if (e.launch_unanswered && e.sent_fencing_token >= fencing_token_ &&
-                m->fencing_token_seen <= e.sent_fencing_token &&
-                now - e.placed_at > secs(unanswered_launch_s))
+            if (e.launch_unconfirmed() && e.direct_launch_token >= tokens_.current() &&
+                !e.launch_is_void(m->fencing_token_seen) && now - e.placed_at > secs(unconfirmed_launch_s))
                 return true;
     return false;
 }
--- a/tests/job_lifecycle_test.cpp
+++ b/tests/job_lifecycle_test.cpp
@@ -98,6 +98,7 @@
     EXPECT_EQ(writes[0].key, "past/wk-1");
     EXPECT_FALSE(f.cluster->find_job("wk-1"));
     EXPECT_EQ(f.cluster->finished_job("wk-1")->state, wire::JobState::done);
+    f.refresh_fencing_token();
     auto commands = f.cluster->reply_commands(f.machine("n-1"), f.now);
     ASSERT_EQ(commands.size(), 1u);
     EXPECT_EQ(commands[0].verb, Verb::reap);
--- a/tests/machine_test.cpp
+++ b/tests/machine_test.cpp
@@ -43,6 +43,7 @@
     TaskStatus failed{a, TaskState::exited, Cause::error, false};
     f.cluster->on_heartbeat(f.heartbeat("n-1", {failed}), true, f.now);
     EXPECT_TRUE(f.cluster->reply_commands(f.machine("n-1"), f.now).empty());
+    f.cluster->set_fencing_token(11, f.now);
     f.cluster->on_heartbeat(f.heartbeat("n-1", {failed}, 11), true, f.now);
     auto commands = f.cluster->reply_commands(f.machine("n-1"), f.now);
     ASSERT_EQ(commands.size(), 1u);
--- a/tests/offload_test.cpp
+++ b/tests/offload_test.cpp
@@ -230,6 +230,7 @@
     EXPECT_EQ(count_reap_commands(), 0);
     auto& job = *f.cluster->find_job("wk-1");
     f.cluster->delegated_results_recorded(job, shard);
+    f.refresh_fencing_token();
     EXPECT_EQ(count_reap_commands(), 2);
     f.cluster->drop_delegated_shard(job);
     EXPECT_EQ(f.cluster->find_job("wk-1"), nullptr);
--- a/tests/partition_histories_test.cpp
+++ b/tests/partition_histories_test.cpp
@@ -95,3 +95,25 @@
         static_cast<unsigned long long>(histories), starts, agent_epochs, failovers, expired_leases,
         renewals_by_node);
 }
+
+// A task ran on two machines after copies of start commands, answered seconds before, had reached workers
+// that had reaped the attempts meanwhile.
+TEST(PartitionHistories, NoAttemptStartsAgainByACopyOfCommandsThatWereAnswered) {
+    QuietLog quiet;
+#ifdef __SANITIZE_ADDRESS__
+    constexpr std::uint64_t histories = 300;
+#else
+    constexpr std::uint64_t histories = 6'000;
+#endif
+    std::size_t starts = 0;
+    for (std::uint64_t seed = 1; seed <= histories; ++seed) {
+        PartitionHistory history(seed, true);
+        for (int step = 0; step < 200; ++step) {
+            history.step();
+            auto violation = first_violation(history);
+            ASSERT_EQ(violation, "") << "seed " << seed << ", step " << step;
+        }
+        starts += history.starts;
+    }
+    EXPECT_GT(starts, 5 * histories);
+}
--- a/tests/partition_history.hpp
+++ b/tests/partition_history.hpp
@@ -50,8 +50,12 @@
     int job_count = 0, machine_count = 0;
     std::size_t starts = 0, agent_epochs = 0, failovers = 0, expired_leases = 0;
     std::string violation;  // empty if no rule was violated
+    bool copies_answered_pushes;
+    std::set<std::pair<std::string, Attempt>> reaped;  // by machine, in its agent epoch
 
-    explicit PartitionHistory(std::uint64_t seed) : random(seed) {
+    // `copies`: pushes that were executed and answered may arrive once more at any later time.
+    explicit PartitionHistory(std::uint64_t seed, bool copies = false)
+        : random(seed), copies_answered_pushes(copies) {
         rules.teams["crew"] = {};
         rules.lease_s = lease_s;
         rules.cancel_s = cancel_s;
@@ -103,6 +107,7 @@
                 w.lease_renewed += secs(lease_s / w.clock_rate);
                 w.agent_epoch++, agent_epochs++;
                 w.tasks.clear();
+                std::erase_if(reaped, [&](auto& of) { return of.first == name; });
             }
         }
         if (was_partitioned && now >= partition_end) {
@@ -165,11 +170,20 @@
                  const std::vector<Command>& commands) {
         Worker& w = workers[name];
         if (agent_epoch != w.agent_epoch) return false;
+        for (auto& command : commands) {
+            auto it = w.tasks.find(command.attempt);
+            if (command_token >= w.fencing_token && command.verb == Verb::reap && it != w.tasks.end() &&
+                it->second.first == TaskState::exited)
+                reaped.emplace(name, command.attempt);
+        }
         return w.execute(command_token, commands, [&](const Attempt& attempt) { start(name, w, attempt); });
     }
     // Starts an attempt on a worker, and checks the rules that apply to a start.
     void start(const std::string& name, Worker& w, const Attempt& a) {
         const auto& spec = jobs.at(a.task.job);
+        if (reaped.contains({name, a}))
+            violation = fmt::format("task {}: attempt {} starts on machine {}, where it was reaped",
+                                    a.task.str(), a.number, name);
         double used = 0;
         for (auto& [b, s] : w.tasks)
             if (s.first != TaskState::exited) used += jobs.at(b.task.job).need.cpus;
@@ -210,7 +224,7 @@
         m->last_answer = now;
         auto commands = cluster->reply_commands(*m, now);
         if (pick(8) == 0) return;  // the answer is lost, or arrives after 4 s and is ignored
-        if (execute(name, fencing_token, w.agent_epoch, commands)) w.lease_renewed = sent;
+        if (execute(name, m->fencing_token_sent, w.agent_epoch, commands)) w.lease_renewed = sent;
     }
     void push(const std::string& name) {
         auto* m = cluster->find_machine(name);
@@ -218,20 +232,22 @@
         std::vector<Command> commands;
         if (m->up) commands = cluster->push_commands(*m, now);
         Worker& w = workers[name];
-        if (booting.contains(name))
-            return cluster->push_answered(*m, commands, fencing_token, false, false, now);
+        const auto token = std::max(m->fencing_token_sent, cluster->first_fencing_token());
+        if (booting.contains(name)) return cluster->push_answered(*m, commands, token, false, false, now);
         if (partitioned(w)) {
-            delayed_by_partition.push_back({name, fencing_token, m->agent_epoch, commands, {}});
-            return cluster->push_answered(*m, commands, fencing_token, false, true, now);
+            delayed_by_partition.push_back({name, token, m->agent_epoch, commands, {}});
+            return cluster->push_answered(*m, commands, token, false, true, now);
         }
         auto outcome = pick(8);
         if (outcome == 0) {  // the push is delayed or lost, which the leader can't distinguish
-            if (pick(2)) late.push_back({name, fencing_token, m->agent_epoch, commands, {}});
-            return cluster->push_answered(*m, commands, fencing_token, false, true, now);
+            if (pick(2)) late.push_back({name, token, m->agent_epoch, commands, {}});
+            return cluster->push_answered(*m, commands, token, false, true, now);
         }
-        bool ok = execute(name, fencing_token, m->agent_epoch, commands);
-        if (outcome == 1) return cluster->push_answered(*m, commands, fencing_token, false, true, now);
-        cluster->push_answered(*m, commands, fencing_token, ok, false, now);
+        bool ok = execute(name, token, m->agent_epoch, commands);
+        if (copies_answered_pushes && ok && pick(2))
+            late.push_back({name, token, m->agent_epoch, commands, {}});
+        if (outcome == 1) return cluster->push_answered(*m, commands, token, false, true, now);
+        cluster->push_answered(*m, commands, token, ok, false, now);
         cluster->on_heartbeat(heartbeat(name), false, now);
     }
     void write(bool crash) {
@@ -359,7 +375,7 @@
                 return pass_time();
             default:
                 cancel_any_job();
-                if (cluster->has_unanswered_launch(now))
+                if (cluster->has_unconfirmed_launch(now) || cluster->reaps_await_fencing_token())
                     cluster->set_fencing_token(++fencing_token, now);  // refreshes the fencing token
                 if (pick(12) == 0) fail_over();
         }
--- a/tests/quota_fleet.hpp
+++ b/tests/quota_fleet.hpp
@@ -54,9 +54,11 @@
                 else
                     tasks.push_back({attempt, TaskState::running, Cause::none, false});
             }
-            cluster->push_answered(*machine, commands, cluster->fencing_token(), true, false, now);
-            cluster->on_heartbeat(heartbeat(name, tasks, cluster->fencing_token(), machine->zone), false,
-                                  now);
+            const auto token = machine->fencing_token_sent;
+            cluster->push_answered(*machine, commands, token, true, false, now);
+            cluster->on_heartbeat(heartbeat(name, tasks, token, machine->zone), false, now);
+            // Exited attempts are reaped under a newer token.
+            cluster->set_fencing_token(cluster->fencing_token() + 1, now);
             std::erase_if(tasks, [](auto& task) { return task.state == TaskState::exited; });
             cluster->on_heartbeat(heartbeat(name, tasks, cluster->fencing_token(), machine->zone), true, now);
         }
--- a/tests/quota_histories_test.cpp
+++ b/tests/quota_histories_test.cpp
@@ -37,6 +37,7 @@
     // learns that they have; it starts no task because of them.
     std::map<std::string, double> charged_limits, actual_limits;
     int job_count = 0;
+    std::size_t failovers = 0;
 
     explicit QuotaHistory(std::uint64_t seed) : random(seed) {
         config.teams["crew"] = {2, 0, 10, 0};
@@ -99,6 +100,7 @@
         }
     }
     void fail_over() {
+        ++failovers;
         ++fencing_token;
         start_leader();
         for (auto& n : tree->nodes()) charged_limits[n.path] = std::max(n.limit.cpus, used_cpus(n.path));
@@ -112,18 +114,21 @@
         auto* machine = cluster->find_machine(name);
         if (!machine || !machine->up) return;
         auto commands = cluster->push_commands(*machine, now);
+        const auto token = machine->fencing_token_sent;
         auto outcome = random_below(8);
         if (outcome == 0) {  // the leader cannot tell whether the push is lost or late
-            if (random_below(2)) delayed_pushes.push_back({name, fencing_token, commands});
-            cluster->push_answered(*machine, commands, fencing_token, false, true, now);
+            if (random_below(2)) delayed_pushes.push_back({name, token, commands});
+            cluster->push_answered(*machine, commands, token, false, true, now);
             return;
         }
-        bool ok = execute(name, fencing_token, commands);
+        bool ok = execute(name, token, commands);
+        // A push that was executed may arrive once more.
+        if (ok && random_below(4) == 0) delayed_pushes.push_back({name, token, commands});
         if (outcome == 1) {  // executed, but the answer is lost
-            cluster->push_answered(*machine, commands, fencing_token, false, true, now);
+            cluster->push_answered(*machine, commands, token, false, true, now);
             return;
         }
-        cluster->push_answered(*machine, commands, fencing_token, ok, false, now);
+        cluster->push_answered(*machine, commands, token, ok, false, now);
         cluster->on_heartbeat(heartbeat(name), false, now);
     }
     // Accepts a random job.
@@ -156,8 +161,9 @@
         auto message = heartbeat(name);
         if (random_below(4) == 0) return;  // the heartbeat is lost
         cluster->on_heartbeat(message, true, now);
-        auto commands = cluster->reply_commands(*cluster->find_machine(name), now);
-        if (random_below(6)) execute(name, fencing_token, commands);
+        auto* machine = cluster->find_machine(name);
+        auto commands = cluster->reply_commands(*machine, now);
+        if (random_below(6)) execute(name, machine->fencing_token_sent, commands);
     }
     // The worker executes the oldest delayed push.
     void deliver_late_commands() {
@@ -215,6 +221,8 @@
                 return;
             default:
                 cancel_random_job();
+                if (cluster->has_unconfirmed_launch(now) || cluster->reaps_await_fencing_token())
+                    cluster->set_fencing_token(++fencing_token, now);
                 if (random_below(40) == 0) fail_over();
         }
     }
@@ -284,7 +292,7 @@
             auto violation = history.find_violation();
             ASSERT_EQ(violation, "") << "seed " << seed << ", step " << step;
         }
-        failovers += history.fencing_token - 10;
+        failovers += history.failovers;
         for (auto& [name, worker] : history.workers) started += worker.tasks.size();
     }
     EXPECT_GT(started, histories);
--- a/tests/retries_test.cpp
+++ b/tests/retries_test.cpp
@@ -106,6 +106,7 @@
     EXPECT_TRUE(job.waiting.empty());
     f.write();
     EXPECT_EQ(job.waiting.size(), 1u);
+    f.refresh_fencing_token();
     auto commands = f.cluster->reply_commands(f.machine("n-1"), f.now);
     ASSERT_EQ(commands.size(), 1u);
     EXPECT_EQ(commands[0].verb, Verb::reap);
--- a/tests/sim/late_copies.cpp
+++ b/tests/sim/late_copies.cpp
@@ -81,21 +81,24 @@
     if (const auto leader = site.leader()) site.kill(*leader, draw(site, 0.2, 6));
 }
 
-Nanos play_copies(Site& site, bool other_troubles) {
+Nanos play_copies(Site& site, bool commands, bool transactions, bool other_troubles) {
     auto& w = site.world;
     site.poll_all(2s);
     site.run(draw(site, 2, 4));
     begin_work(site);
     fail_tasks(site, 2 + w.random() % 4, length_of_copying);
-    site.state().copy_transactions(1 + w.random() % 4, length_of_copying, latest_copy(site));
-    site.state().on_copy_carried_out = [&site, ends = std::size_t{0}]() mutable {
-        if (ends < 3 && site.world.one_in(20)) ++ends, end_leader_unheard(site);
-    };
+    if (commands) copy_commands(site, 1 + w.random() % 3, length_of_copying, latest_copy(site));
+    if (transactions) {
+        site.state().copy_transactions(1 + w.random() % 4, length_of_copying, latest_copy(site));
+        site.state().on_copy_carried_out = [&site, ends = std::size_t{0}]() mutable {
+            if (ends < 3 && site.world.one_in(20)) ++ends, end_leader_unheard(site);
+        };
+    }
     const auto rounds = 4 + w.random() % 3;
     for (std::size_t round = 0; round < rounds; ++round) {
         site.run(draw(site, 2, 12));
         short_trouble(site);
-        if (w.one_in(3)) w.after(draw(site, 0, 4), [&site] { end_leader_unheard(site); });
+        if (transactions && w.one_in(3)) w.after(draw(site, 0, 4), [&site] { end_leader_unheard(site); });
         if (other_troubles && w.one_in(2)) begin_any_trouble(site);
     }
     site.run(draw(site, 8, 16));
@@ -105,9 +108,14 @@
 
 }  // namespace
 
+Drawn copied_commands(std::uint64_t seed) {
+    return {site_with_little_room(seed),
+            [seed](Site& site) { return play_copies(site, true, false, seed % 2 == 0); }};
+}
+
 Drawn copied_transactions(std::uint64_t seed) {
     return {site_with_little_room(seed + 100'000),
-            [seed](Site& site) { return play_copies(site, seed % 2 == 0); }};
+            [seed](Site& site) { return play_copies(site, seed % 4 == 0, true, seed % 2 == 0); }};
 }
 
 }  // namespace barrowrun::sim
--- a/tests/sim/late_copies_test.cpp
+++ b/tests/sim/late_copies_test.cpp
@@ -51,6 +51,22 @@
     }
 }
 
+// A machine of the gangs hangs, so that they stop and start anew.
+TEST(LateCopies, AStartCommandOfAnEarlierAttemptDoesNotMeetANewAttemptOfItsGang) {
+    for (std::uint64_t seed = 1; seed <= seed_count; ++seed) {
+        Site site(three_machines(seed));
+        site.poll_all(2s);
+        site.run(3s);
+        copy_commands(site, 1, 30s, 15s);
+        for (int i = 0; i < 2; ++i) site.submit(site.job(3, 40, wire::JobKind::gang));
+        site.run(5s);
+        site.live_workers()[seed % 3]->hang(6s);
+        site.run(140s);
+        EXPECT_EQ(site.checker.launched_again(), 0u) << "seed " << seed;
+        expect_no_rule_broken(site);
+    }
+}
+
 // A copy of a transaction overwrites the record of a machine that has been given a task since. The leader
 // ends, and its successor can't ask the machine.
 TEST(LateCopies, ATransactionDoesNotHideAStartFromTheNextLeader) {
--- a/tests/sim/variants_test.cpp
+++ b/tests/sim/variants_test.cpp
@@ -46,6 +46,7 @@
                                      Meeting{"handover", handover}, Meeting{"new_machines", new_machines},
                                      Meeting{"old_reports", old_reports}, Meeting{"many_small", many_small},
                                      Meeting{"old_agent_epochs", old_agent_epochs},
+                                     Meeting{"copied_commands", copied_commands},
                                      Meeting{"copied_transactions", copied_transactions}),
                      testing::Range<std::uint64_t>(0, 4)),
     [](auto& of) {
--- a/tests/support.hpp
+++ b/tests/support.hpp
@@ -137,11 +137,16 @@
         std::vector<TaskStatus> tasks;
         for (auto& [a, e] : machine(name).assignments)
             tasks.push_back({a, TaskState::running, Cause::none, false});
-        cluster->push_answered(machine(name), commands, cluster->fencing_token(), true, false, now);
-        cluster->on_heartbeat(heartbeat(name, tasks, cluster->fencing_token(), machine(name).zone), false,
-                              now);
+        const auto token = machine(name).fencing_token_sent;
+        cluster->push_answered(machine(name), commands, token, true, false, now);
+        cluster->on_heartbeat(heartbeat(name, tasks, token, machine(name).zone), false, now);
         return commands;
     }
+    // The leader refreshes its fencing token, and the other nodes have had time to learn of the new one.
+    void refresh_fencing_token() {
+        cluster->set_fencing_token(cluster->fencing_token() + 1, now);
+        now += fleet::CommandTokens::propagation;
+    }
     void schedule_and_write() {
         cluster->schedule_round(now);
         write();
