barrowrun-worker refuses launches of attempts that it has reaped

A late copy of a launch that a worker has executed, answered and reaped may come under the token that it still knows. The controllers no longer rely on what the worker remembers, but this one can: it keeps the attempts that it reaped in its agent epoch, the last 8,192, and doesn't execute a launch of one of them. Attempt numbers are never used again, so no other launch can be meant. It logs refused copies as errors, and commands under old tokens or agent epochs at info.

--- a/src/worker/agent.cpp
+++ b/src/worker/agent.cpp
@@ -211,7 +211,19 @@
     auto commands = body ? wire::parse_commands(*body) : std::nullopt;
     if (!fencing_token || !agent_epoch || !commands)
         co_return net::Response{400, {{"error", "baton, shift or orders"}}};
+    const auto refused_before = machine_.refused_launches();
     bool executed = machine_.commanded(*fencing_token, *agent_epoch, *commands, now);
+    if (!executed)
+        spdlog::info(
+            "agent: refused commands under fencing token {} and agent epoch {}; the highest token seen is "
+            "{}, "
+            "the agent epoch {}",
+            *fencing_token, *agent_epoch, machine_.fencing_token(), machine_.agent_epoch());
+    if (machine_.refused_launches() > refused_before)
+        spdlog::error(
+            "agent: refused {} launches of attempts that were reaped, a late copy of commands under fencing "
+            "token {}; {} since this process started",
+            machine_.refused_launches() - refused_before, *fencing_token, machine_.refused_launches());
     handle_state_change();
     if (!executed && machine_.ending()) co_return net::Response{503, {{"error", "between two sessions"}}, 1};
     // A task description is usually read within milliseconds. Waiting up to 20 ms lets the answer report the
--- a/src/worker/machine.cpp
+++ b/src/worker/machine.cpp
@@ -5,6 +5,11 @@
 namespace barrowrun::worker {
 using wire::JobKind;
 
+namespace {
+// Bounds the memory for reaped attempts; about a megabyte.
+constexpr std::size_t max_remembered_reaps = 8192;
+}  // namespace
+
 Machine::Machine(std::string name, std::string address, std::string type, std::string zone, bool spot,
                  wire::Resources capacity, Times times, std::uint64_t agent_epoch, TimePoint now)
     : name_(std::move(name)),
@@ -63,13 +68,26 @@
         } else if (command.verb == wire::Verb::kill) {
             if (it != tasks_.end()) stop(command.attempt, it->second, secs(command.grace_s), now);
         } else if (it != tasks_.end() && it->second.state == TaskState::exited) {
-            tasks_.erase(it);
-            mark_changed();
+            reap(command.attempt);
         }
     }
 }
 
+void Machine::reap(const Attempt& attempt) {
+    tasks_.erase(attempt);
+    mark_changed();
+    if (!reaped_.insert(attempt).second) return;
+    reap_order_.push_back(attempt);
+    if (reap_order_.size() <= max_remembered_reaps) return;
+    reaped_.erase(reap_order_.front());
+    reap_order_.pop_front();
+}
+
 void Machine::launch(const Attempt& attempt) {
+    if (reaped_.contains(attempt)) {
+        ++refused_launches_;
+        return;
+    }
     bool already_present = std::any_of(tasks_.begin(), tasks_.end(), [&](auto& kv) {
         return kv.first.task == attempt.task && kv.second.state != TaskState::exited;
     });
@@ -202,6 +220,8 @@
             if (!task.killed) actions_.push_back({Action::kill, attempt, {}});
         }
     tasks_.clear();
+    reaped_.clear();
+    reap_order_.clear();
     ++agent_epoch_;
     lease_renewed_at_ = now;
     mark_changed();
--- a/src/worker/machine.hpp
+++ b/src/worker/machine.hpp
@@ -3,9 +3,11 @@
 // tokens, agent epochs, the lease, and the states of the tasks on this machine. It does no I/O and reads no
 // clock: events and the current time are passed in, and actions come out.
 #include <chrono>
+#include <deque>
 #include <functional>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -88,6 +90,9 @@
     bool fetching() const;  // whether a task description is being read
     std::vector<Action> take_actions() { return std::exchange(actions_, {}); }
 
+    // How many launches were not executed because their attempt had been reaped in this agent epoch: late
+    // copies, since controllers don't start an attempt twice.
+    std::uint64_t refused_launches() const { return refused_launches_; }
     std::uint64_t agent_epoch() const { return agent_epoch_; }
     std::uint64_t fencing_token() const { return fencing_token_; }
     TimePoint lease_end() const { return lease_renewed_at_ + times_.lease; }
@@ -105,6 +110,7 @@
     };
     void execute(const std::vector<wire::Command>& commands, TimePoint now);
     void launch(const Attempt& attempt);
+    void reap(const Attempt& attempt);
     void stop(const Attempt& attempt, Task& task, Clock::duration grace, TimePoint now);
     void mark_exited(Task& task, Cause cause);
     void kill(const Attempt& attempt, Task& task, Cause cause);
@@ -121,6 +127,9 @@
     bool has_unreported_change_ = true;
     std::optional<TimePoint> recall_at_;
     std::map<Attempt, Task> tasks_;
+    std::set<Attempt> reaped_;        // in this agent epoch, the most recent ones
+    std::deque<Attempt> reap_order_;  // the same attempts, oldest first
+    std::uint64_t refused_launches_ = 0;
     std::map<Attempt, bool> terminating_;  // attempts of expired agent epochs whose processes are running
     std::vector<Action> actions_;
 };
