--- a/review/5/case.py
+++ b/review/5/case.py
@@ -1,91 +1,93 @@
-"""The machine of a Make rule stops midway, and its user ends the flow; the next make finds half a file."""
+"""A gang of two tasks on two machines, one of which runs its task slower."""
+import json
 import os
 import signal
 import subprocess
 import sys
+import threading
 import time
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "site-2"))
 import site2
 from site2 import TROUBLE
 
-# The target lies where a web server publishes it, outside of the directory of the rules.
-MAKEFILE = """SITE = %s
-$(SITE)/pump.html: pump.txt
-\techo '<html>step 1: close the valve' > $(SITE)/pump.html
-\tsleep 8
-\techo 'step 2: release the pressure</html>' >> $(SITE)/pump.html
-"""
-WHOLE = "<html>step 1: close the valve\nstep 2: release the pressure</html>\n"
+FACTOR = 4.0  # of the site file: machine_slow, factor 4.0
+# 120 steps of 0.05 s. A shell that stands still makes no step.
+COMMAND = "w=%s/task-$BARROW_TASK; for i in $(seq 120); do sleep 0.05; echo step $i >> $w; done; echo end >> $w"
 
 
-def read(path):
+def lines(path):
     try:
         with open(path) as f:
-            return f.read()
+            return f.read().splitlines()
     except OSError:
-        return None
+        return []
 
 
 def run(case, sites, record):
     program = os.path.join(site2.TOOLS, "barrowctl")
     if not os.access(program, os.X_OK):
         raise site2.CannotRun("review/build-2.sh has not been run")
-    kind = site2.machine_type(capacity=2)
-    kind["ready_s"] = 20.0  # a replacement boots in 20 s, as slab64 of kdh-colombo
-    site = site2.Site(case, record=record, types=[kind], own_workers=True)
+    site = site2.Site(case, record=record, types=[site2.machine_type(vcpus=4, mem_gb=16)], own_workers=True)
     sites.append(site)
-    manuals, target = os.path.join(site.dir, "manuals"), os.path.join(site.dir, "site", "pump.html")
-    os.makedirs(manuals)
-    os.makedirs(os.path.dirname(target))
-    with open(os.path.join(manuals, "Makefile"), "w") as f:
-        f.write(MAKEFILE % os.path.dirname(target))
-    with open(os.path.join(manuals, "pump.txt"), "w") as f:
-        f.write("source\n")
-    site.start([("slab16", "colombo-dc", 1)])
-    site.ready(1)
+    site.start([("slab16", "colombo-dc", 2)])
+    site.ready(2)
+    work = os.path.join(site.dir, "work")
+    os.makedirs(work)
+    path = os.path.join(site.dir, "job.json")
+    with open(path, "w") as f:
+        json.dump({"id": "wk-000201", "command": COMMAND % work, "dir": work, "sort": "gang", "tasks": 2, "cpus": 3,
+                   "mem_gb": 1, "estimate_s": 6, "class": "transgang", "rank": "urgent"}, f)
     env = dict(os.environ, BARROWRUN_SITE=",".join(site.public.values()), BARROWRUN_DEPOT=site.depot,
                BARROWRUN_TEAM="helpline")
-
-    def make():
-        p = subprocess.Popen([program, "make", "-C", manuals, "-f", "Makefile"], env=env, stdin=subprocess.DEVNULL,
-                             stdout=subprocess.PIPE, stderr=subprocess.STDOUT, text=True)
-        site.children.append(p)
-        return p
-
-    def finish(p, what, timeout):
-        try:
-            out, _ = p.communicate(timeout=timeout)
-        except subprocess.TimeoutExpired:
-            raise site2.CannotRun("%s is not over after %d s" % (what, timeout))
-        for line in out.splitlines():
-            record("%s: %s" % (what, line))
-        record("%s: status %d; the file is %r" % (what, p.returncode, read(target)))
-        return p.returncode
-
-    first = make()
-    end = time.monotonic() + 20
-    while read(target) is None:
+    p = subprocess.run([program, "submit", path], env=env, stdin=subprocess.DEVNULL, capture_output=True, text=True,
+                       timeout=60)
+    record("user submits the gang wk-000201 of 2 tasks: status %d, %s" % (p.returncode, p.stdout.strip() + p.stderr.strip()))
+    if p.returncode:
+        raise site2.CannotRun("the gang was not accepted")
+    files = [os.path.join(work, "task-%d" % i) for i in range(2)]
+    end = time.monotonic() + 30
+    while not all(lines(f) for f in files):
         if time.monotonic() > end:
-            raise site2.CannotRun("the rule did not begin: %s" % (first.poll()))
-        time.sleep(0.1)
-    time.sleep(1)
-    record("the rule is at work; the file is %r" % read(target))
+            raise site2.CannotRun("the gang did not start")
+        time.sleep(0.05)
+    record("the gang runs")
+    stop = threading.Event()
     if TROUBLE:
-        machine = list(site.cloud.machines.values())[0]
-        machine["machine"].stop()
-        record("machine %s stops with all that is on it" % machine["name_id"])
-    time.sleep(1)
-    record("the user ends the first make with SIGINT")
-    first.send_signal(signal.SIGINT)
-    finish(first, "first make", 30)
-    time.sleep(1)
-    status = finish(make(), "second make", 70)
-    if status != 0:
-        raise site2.CannotRun("the second make failed")
-    if read(target) != WHOLE:
-        return ["a rule that failed midway left half a manual, and the next make, which ends with status 0, treats it "
-                "as finished: %r" % read(target)]
-    return []
+        machine = list(site.cloud.machines.values())[1]["machine"]
+        # The shell of its task stands still for three quarters of the time; its worker runs as ever.
+        shells = machine.children()
+        record("machine %s runs its task slower by a factor of %g" % (machine.name, FACTOR))
+
+        def slow():
+            while not stop.is_set():
+                for number, pause in ((signal.SIGSTOP, 0.2 * (1 - 1 / FACTOR)), (signal.SIGCONT, 0.2 / FACTOR)):
+                    for q in shells:
+                        try:
+                            os.kill(q, number)
+                        except OSError:
+                            pass
+                    time.sleep(pause)
+
+        threading.Thread(target=slow, daemon=True).start()
+    end, broken = time.monotonic() + 60, []
+    while time.monotonic() < end:
+        status, answer = site.poll("wk-000201")
+        seen = [lines(f) for f in files]
+        if status == 200 and answer["standing"] == "done":
+            record("told done; the tasks' last lines: %s" % [s[-1] for s in seen])
+            unfinished = [i for i, s in enumerate(seen) if s[-1] != "end"]
+            if unfinished:
+                time.sleep(8)
+                after = [lines(f) for f in files]
+                record("8 s later: %s" % [s[-1] for s in after])
+                broken.append("not_done: the gang is called done while task %s is at '%s'; 8 s later it is at '%s'" % (
+                    unfinished, seen[unfinished[0]][-1], after[unfinished[0]][-1]))
+            break
+        time.sleep(0.5)
+    else:
+        raise site2.CannotRun("the gang was not done within 60 s")
+    stop.set()
+    return broken
 
 
 site2.main(__file__, run)
--- a/review/site-2/site2.py
+++ b/review/site-2/site2.py
@@ -42,21 +42,27 @@
         if 0 <= v < 128:
             out.append(v)
         elif v >= 0:
-            out += struct.pack(">BQ", 0xcf, v)
+            out += struct.pack(">BI", 0xce, v) if v < 1 << 32 else struct.pack(">BQ", 0xcf, v)
         else:
             out += struct.pack(">Bq", 0xd3, v)
     elif isinstance(v, float):
         out += struct.pack(">Bd", 0xcb, v)
     elif isinstance(v, str):
         b = v.encode()
-        out += struct.pack(">BH", 0xda, len(b)) if len(b) < 65536 else struct.pack(">BI", 0xdb, len(b))
+        if len(b) < 32:
+            out.append(0xa0 | len(b))
+        else:
+            out += struct.pack(">BH", 0xda, len(b)) if len(b) < 65536 else struct.pack(">BI", 0xdb, len(b))
         out += b
     elif isinstance(v, (list, tuple)):
         out += struct.pack(">BI", 0xdd, len(v))
         for x in v:
             _pack(x, out)
     elif isinstance(v, dict):
-        out += struct.pack(">BI", 0xdf, len(v))
+        if len(v) < 16:
+            out.append(0x80 | len(v))
+        else:
+            out += struct.pack(">BI", 0xdf, len(v))
         for k, x in v.items():
             _pack(k, out)
             _pack(x, out)
@@ -377,7 +383,7 @@
     def __init__(self, address, record, types, boot, list_lag_s=1.0):
         self.address, self.record, self.types, self.boot = address, record, types, boot
         self.lag = list_lag_s
-        self.machines, self.hires, self.n = {}, {}, 0
+        self.machines, self.hires, self.n, self.down = {}, {}, 0, False
         self.lock = threading.Lock()
         self.server = Server(address, self.route)
 
@@ -411,6 +417,8 @@
         path, _, query = target.partition("?")
         q = dict(p.partition("=")[::2] for p in query.split("&") if p)
         body = unpack(data) if data else {}
+        if self.down:
+            return 503, {"error": "trouble"}
         if method == "GET" and path == "/flavors":
             return 200, {"builds": [{k: v for k, v in t.items() if k != "capacity"} for t in self.types]}
         if method == "GET" and path == "/rentals":
@@ -538,6 +546,7 @@
         if spec["sort"] == "gang":
             t["standing"], t["end"] = "waiting", None
             t["alone_at"] = time.monotonic() + self.site.workers["gang_wait_s"]
+            t["gang"] = self.site.gang(key)
         self.site.task_started(self, key)
 
     def tick_loop(self):
@@ -559,14 +568,24 @@
                 self.wake.set()
                 return
             for key, t in self.tasks.items():
+                gang = t.get("gang")
                 if t["standing"] == "waiting":
-                    if self.site.gang_complete(key):
-                        t["standing"], t["end"] = "running", now + t["spec"]["run_s"]
+                    if gang.began:
+                        t["standing"] = "running"
                         self.wake.set()
                     elif now > t["alone_at"]:
                         self.gone(key, "alone")
                         t["cause"] = "alone"
                         self.wake.set()
+                elif t["standing"] == "running" and gang and not gang.done(now):
+                    if gang.lost and now > gang.lost + self.site.workers["gang_peer_s"]:
+                        self.gone(key, "peers")
+                        t["cause"] = "peers"
+                        self.wake.set()
+                elif t["standing"] == "running" and gang:
+                    self.gone(key, "done")
+                    t["cause"] = "done"
+                    self.wake.set()
                 elif t["standing"] == "running" and t["end"] and now >= t["end"]:
                     self.gone(key, "done")
                     t["cause"] = "done"
@@ -630,6 +649,29 @@
         return 400, {"error": "no such request"}
 
 
+class Gang:
+    """The tasks of one attempt of a gang: they start together, and complete together or not at all."""
+
+    def __init__(self, tasks, run_s):
+        self.tasks, self.run_s, self.present = tasks, run_s, set()
+        self.began, self.lost, self.ended = None, None, False
+
+    def arrived(self, parcel):
+        self.present.add(parcel)
+        if not self.began and len(self.present) == self.tasks:
+            self.began = time.monotonic()
+
+    def left(self, parcel):
+        self.present.discard(parcel)
+        if self.began and not self.ended and not self.lost:
+            self.lost = time.monotonic()
+
+    def done(self, now):
+        if self.began and not self.lost and now >= self.began + self.run_s:
+            self.ended = True
+        return self.ended
+
+
 class WorkerProcess:
     """A machine that runs the project's own worker, barrowrun-worker."""
 
@@ -712,7 +754,7 @@
         os.makedirs(self.depot, exist_ok=True)
         self.record = record or Record(os.path.join(case, "record.txt"))
         self.workers = dict(SMALL["workers"])
-        self.jobs, self.children = {}, []
+        self.jobs, self.children, self.gangs = {}, [], {}
         self.running, self.starts, self.ends = {}, [], []
         self.task_lock = threading.Lock()
         self.zones, self.types = list(zones), types
@@ -729,25 +771,32 @@
 
     # Tasks, as the stand-ins of the workers see them.
     def task_started(self, worker, key):
+        gang = worker.tasks[key].get("gang")
         with self.task_lock:
             now = time.monotonic()
             self.running[(worker.name, key)] = now
             self.starts.append((now, worker.name, key))
-        if len(self.starts) <= 200:
+            if gang:
+                gang.arrived(key[0])
+        if not gang or int(key[0].partition("/")[2]) < 3:
             self.record("%s starts %s, try %d" % (worker.name, key[0], key[1]))
 
     def task_gone(self, worker, key, why):
+        gang = worker.tasks[key].get("gang")
         with self.task_lock:
             self.running.pop((worker.name, key), None)
             self.ends.append((time.monotonic(), worker.name, key, why))
-        if len(self.ends) <= 200:
+            if gang:
+                gang.left(key[0])
+        if not gang or int(key[0].partition("/")[2]) < 3:
             self.record("%s: %s, try %d, is gone: %s" % (worker.name, key[0], key[1], why))
 
-    def gang_complete(self, key):
+    def gang(self, key):
         job_id = key[0].partition("/")[0]
         with self.task_lock:
-            there = {k[0] for (_, k) in self.running if k[1] == key[1] and k[0].startswith(job_id + "/")}
-        return len(there) == self.jobs[job_id]["parcels"]
+            if (job_id, key[1]) not in self.gangs:
+                self.gangs[(job_id, key[1])] = Gang(self.jobs[job_id]["parcels"], self.jobs[job_id]["run_s"])
+            return self.gangs[(job_id, key[1])]
 
     def spawn(self, argv, log, env=None, cwd=None):
         out = open(os.path.join(self.dir, log + ".log"), "a")
@@ -932,9 +981,18 @@
             import traceback
             record("could not run: %s" % traceback.format_exc())
 
+    def ended(number, frame):
+        record("ended by signal %d" % number)
+        for x in sites:
+            x.stop()
+        os._exit(2)
+
+    for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+        signal.signal(number, ended)
     t = threading.Thread(target=body, daemon=True)
     t.start()
-    t.join(LIMIT_S - (time.monotonic() - START))
+    while t.is_alive() and time.monotonic() - START < LIMIT_S:
+        t.join(0.2)
     if t.is_alive():
         record("could not run: not over within %d s" % LIMIT_S)
     for s in sites:
