--- a/review/4/case.py
+++ b/review/4/case.py
@@ -28,7 +28,7 @@
     time.sleep(1)
     if TROUBLE:
         site.kill_controllers(site.names)
-        time.sleep(site2.SMALL["restart_s"])
+        time.sleep(site2.KDH_COLOMBO["restart_s"])
         for n in site.names:
             site.start_controller(n)
         record("all controllers are back")
--- a/review/site-2/site2.py
+++ b/review/site-2/site2.py
@@ -380,7 +380,7 @@
     """`types`: list of maps as in GET /flavors, with `capacity` (machines) as an extra field. `boot(name, type, zone)`
     starts a machine and returns an object with `address` and `stop()`."""
 
-    def __init__(self, address, record, types, boot, list_lag_s=1.0):
+    def __init__(self, address, record, types, boot, list_lag_s):
         self.address, self.record, self.types, self.boot = address, record, types, boot
         self.lag = list_lag_s
         self.machines, self.hires, self.n, self.down = {}, {}, 0, False
@@ -479,7 +479,7 @@
         self.shift, self.tally, self.baton = 1, 0, 0
         self.lease_from = time.monotonic()
         self.tasks = {}            # (parcel, try) -> map
-        self.on = True
+        self.on, self.sick = True, False
         self.address = free_address()
         self.server = Server(self.address, self.route)
         self.record = site.record
@@ -542,7 +542,10 @@
                 t["cause"] = "full"
                 return
         t.update(standing="running", cause=None, started=True, spec=spec)
-        t["end"] = time.monotonic() + spec["run_s"] if spec["sort"] != "daemon" else None
+        run_s = spec["run_s"](int(index)) if callable(spec["run_s"]) else spec["run_s"]
+        t["end"] = time.monotonic() + run_s if spec["sort"] != "daemon" else None
+        if self.sick:
+            t["end"] = time.monotonic() + 0.5
         if spec["sort"] == "gang":
             t["standing"], t["end"] = "waiting", None
             t["alone_at"] = time.monotonic() + self.site.workers["gang_wait_s"]
@@ -587,8 +590,8 @@
                     t["cause"] = "done"
                     self.wake.set()
                 elif t["standing"] == "running" and t["end"] and now >= t["end"]:
-                    self.gone(key, "done")
-                    t["cause"] = "done"
+                    t["cause"] = "error" if self.sick else "done"
+                    self.gone(key, t["cause"])
                     self.wake.set()
 
     def answered(self, answer, sent, shift):
@@ -735,38 +738,49 @@
 
 # ---- site -----------------------------------------------------------------------------------------------------
 
-SMALL = {  # as of the deployment kdh-colombo
+KDH_COLOMBO = {
     "workers": {"report_s": 1.5, "lease_s": 14.0, "gang_wait_s": 40.0, "gang_peer_s": 4.0, "cancel_s": 39.0},
     "state": {"rps": 150.0, "write_rps": 60.0, "value_kb": 32.0, "txn_ops": 16},
-    "cloud": {"rps": 2.0, "list_lag_s": 1.0},
+    "cloud": {"rps": 2.0, "list_lag_s": 10.0},
     "quota": {"cores": 0.12, "ram_mb": 56.0, "max_sockets": 900},
-    "restart_s": 4.0,
+    "clock_error_ms": 5.0, "restart_s": 4.0, "team": "helpline", "zones": ["colombo-dc"],
+}
+CLARK_INFLIGHT = {
+    "workers": {"report_s": 2.5, "lease_s": 16.0, "gang_wait_s": 40.0, "gang_peer_s": 5.0, "cancel_s": 41.0},
+    "state": {"rps": 100.0, "write_rps": 25.0, "value_kb": 16.0, "txn_ops": 20},
+    "cloud": {"rps": 8.0, "list_lag_s": 8.0},
+    "quota": {"cores": 0.16, "ram_mb": 104.0, "max_sockets": 1800},
+    "clock_error_ms": 250.0, "restart_s": 6.0, "team": "cabinsupply", "zones": ["crk-north"],
 }
 
 
 class Site:
-    def __init__(self, case, label="", types=None, zones=("colombo-dc",), own_workers=False, teams=None,
-                 machine_zones=None, record=None, parent_dir=None):
-        self.label = label
+    """Three controllers and their stand-ins, with the settings of a deployment."""
+
+    def __init__(self, case, label="", types=None, own_workers=False, record=None, parent_dir=None,
+                 deployment=KDH_COLOMBO):
+        self.label, self.deployment = label, deployment
         self.dir = os.path.join(parent_dir, label) if parent_dir else tempfile.mkdtemp(prefix="review-2-")
         os.makedirs(self.dir, exist_ok=True)
         self.depot = os.path.join(self.dir, "depot")
         os.makedirs(self.depot, exist_ok=True)
         self.record = record or Record(os.path.join(case, "record.txt"))
-        self.workers = dict(SMALL["workers"])
+        self.workers = dict(deployment["workers"])
         self.jobs, self.children, self.gangs = {}, [], {}
         self.running, self.starts, self.ends = {}, [], []
         self.task_lock = threading.Lock()
-        self.zones, self.types = list(zones), types
-        self.teams = teams or [{"name": "helpline", "cpus": 0.0, "cpus_max": 0.0, "gpus": 0.0, "gpus_max": 0.0}]
-        self.state = State(free_address(), self.record, int(SMALL["state"]["value_kb"]), SMALL["state"]["txn_ops"])
+        self.zones, self.types = deployment["zones"], types
+        self.teams = [{"name": deployment["team"], "cpus": 0.0, "cpus_max": 0.0, "gpus": 0.0, "gpus_max": 0.0}]
+        limits = deployment["state"]
+        self.state = State(free_address(), self.record, int(limits["value_kb"]), limits["txn_ops"])
         self.names = ["barrow-%d" % i for i in range(3)]
         self.public = {n: free_address() for n in self.names}
         self.internal = {n: free_address() for n in self.names}
         make = WorkerProcess if own_workers else Worker
         by_name = {t["label"]: t for t in types}
         self.cloud = Cloud(free_address(), self.record, types,
-                           lambda name, t, zone: make(self, name, by_name[t], zone, self.public))
+                           lambda name, t, zone: make(self, name, by_name[t], zone, self.public),
+                           deployment["cloud"]["list_lag_s"])
         self.controllers, self.operator = {}, None
 
     # Tasks, as the stand-ins of the workers see them.
@@ -778,7 +792,7 @@
             self.starts.append((now, worker.name, key))
             if gang:
                 gang.arrived(key[0])
-        if not gang or int(key[0].partition("/")[2]) < 3:
+        if int(key[0].partition("/")[2]) < (3 if gang else 20):
             self.record("%s starts %s, try %d" % (worker.name, key[0], key[1]))
 
     def task_gone(self, worker, key, why):
@@ -788,7 +802,7 @@
             self.ends.append((time.monotonic(), worker.name, key, why))
             if gang:
                 gang.left(key[0])
-        if not gang or int(key[0].partition("/")[2]) < 3:
+        if int(key[0].partition("/")[2]) < (3 if gang else 20):
             self.record("%s: %s, try %d, is gone: %s" % (worker.name, key[0], key[1], why))
 
     def gang(self, key):
@@ -812,8 +826,9 @@
                             for k, n in enumerate(self.names) if n != name],
                 "external": {"cloud": self.cloud.address, "state": self.state.address},
                 "deployment": {"size": 3, "zones": self.zones, "teams": self.teams, "objectives": [],
-                               "workers": self.workers, "state": SMALL["state"], "cloud": SMALL["cloud"],
-                               "quota": SMALL["quota"], "clock_error_ms": 5.0}}
+                               "workers": self.workers, "state": self.deployment["state"],
+                               "cloud": self.deployment["cloud"], "quota": self.deployment["quota"],
+                               "clock_error_ms": self.deployment["clock_error_ms"]}}
 
     def start_controller(self, name):
         i = self.names.index(name)
@@ -942,7 +957,7 @@
 
 
 def job(job_id, sort="sweep", parcels=1, vcpus=1.0, mem_gb=1.0, **more):
-    spec = {"name_id": job_id, "docket": "rebuild", "crew": "helpline", "sort": sort, "rank": "normal",
+    spec = {"name_id": job_id, "docket": "rebuild", "crew": KDH_COLOMBO["team"], "sort": sort, "rank": "normal",
             "parcels": parcels, "vcpus": float(vcpus), "cards": 0.0, "mem_gb": float(mem_gb), "cargo": "img-1",
             "image_gb": 0.0, "builds": None, "yard": None, "same_place": False, "spread": False, "loaners": False,
             "haul_s": 1.0, "waymark_s": 0.0, "stow_s": 0.0, "due_s": None}
