The log names the listing that can't be decoded and the transaction that is answered with 400

What was missing: a leader whose recovery never ended logged that "the records could not be read", and a leader whose transactions were all refused logged nothing. That did not tell an outage, a slow answer, an answer that can't be decoded and a listing without entries apart, nor a passing refusal (429, 503) from one for good (400), nor which records were in it.

Change: an answer of 200 to a listing that can't be used is an error in the log with its prefix, its page and the reason; a transaction that is answered with 400 is one with its keys and the service's reason.

--- a/src/state/state_client.cpp
+++ b/src/state/state_client.cpp
@@ -74,6 +74,13 @@
     return KeyValue{*key, value_or_null(entry), wire::count(entry, "mark").value_or(0)};
 }
 
+// The keys of a transaction, for the log.
+std::string describe_keys(const std::vector<Precondition>& preconditions) {
+    std::string keys;
+    for (auto& precondition : preconditions) keys += (keys.empty() ? "" : ", ") + precondition.key;
+    return keys;
+}
+
 std::vector<std::string> parse_failed_keys(const Json& conflict) {
     std::vector<std::string> keys;
     const Json* failed = wire::find(conflict, "failed");
@@ -165,7 +172,12 @@
         if (!after.empty()) target += "&since=" + after;
         auto reply = co_await call(verb::get, target, std::nullopt, page_deadline, throttle);
         const Json* entries = reply.status == 200 ? wire::find(reply.body, "entries") : nullptr;
-        if (!entries || !entries->is_array()) co_return Listing{};
+        if (!entries || !entries->is_array()) {
+            if (reply.status == 200)
+                spdlog::error("state service: a page of {}* after '{}' {}, the records are not read", prefix,
+                              after, reply.garbage ? "can't be decoded" : "has no entries");
+            co_return Listing{};
+        }
         if (out.revision == 0) out.revision = wire::count(reply.body, "ledger").value_or(0);
         for (const Json& entry : *entries) {
             auto item = parse_key_value(entry);
@@ -201,6 +213,9 @@
     }
     Json body = compare_and_swap_request(preconditions, std::move(operations));
     auto reply = co_await call(verb::post, "/multi", std::move(body), deadline, throttle);
+    if (reply.status == 400)
+        spdlog::error("state service: a transaction on {} was answered with 400: {}",
+                      describe_keys(preconditions), wire::text(reply.body, "error").value_or("no reason"));
     CompareAndSwapResult out;
     out.outcome = outcome_of(reply);
     if (out.outcome == Outcome::absent) out.outcome = Outcome::refused;
