A deep unknown field no longer makes records unreadable: it is ignored, and the rest of the document is read

After one crash of all controllers no leader got through its recovery: no task of any job started, and polls for that job were answered 503 for ever; from 22 levels on also without a crash.

Cause: what is accepted at one depth is read at another. The decoder refused a whole document for any part below 24 levels. A submission of up to 24 levels passed, its unknown fields were kept without a bound on levels, and the record stands two levels deeper in a read and four in a listing or a watch.

The field's levels at which the whole-node test breaks (20 and more) are those at which a listing has more than 24.

Change: wire::decode reads a part that can't be built as null (below 24 levels, or a map with a key that is not text) and the rest as it is, without recursion. Unknown fields are kept if they can be stored and have at most 8 levels. A job whose record can't be kept is refused at once and for good (400, 422) unless it is on record; it was answered 503 again and again. A read of a null value counts as a read. The stand-in of the state service keeps values of any depth up to 500, as the platform's does; with the controller's decoder it hid the fault. The simulated site encodes and decodes answers.

Why this works: no part of an answer can hide another one, whoever wrote it, so records of earlier versions are read as well; and what is written now is far below the limit wherever it is sent.

--- a/src/api/node.hpp
+++ b/src/api/node.hpp
@@ -34,6 +34,8 @@
         int retry_after_s = 0;
     };
     std::optional<Rejection> rejected_by_settings(const wire::JobSpec& spec) const;
+    // A job whose record the state service would not keep, or would not keep unchanged.
+    std::optional<Rejection> rejected_by_record(const wire::JobSpec& spec) const;
     std::optional<Rejection> rejected_by_machine_types(const wire::JobSpec& spec) const;
     std::optional<Rejection> rejected_by_queue_bound(const wire::JobSpec& spec);
     Task<std::optional<Rejection>> find_rejection(const wire::JobSpec& spec);
--- a/src/api/submissions.cpp
+++ b/src/api/submissions.cpp
@@ -72,9 +72,19 @@
     return Rejection{429, "the queues are full", retry_after_full_queues_s};
 }
 
+std::optional<Node::Rejection> Node::rejected_by_record(const wire::JobSpec& spec) const {
+    const auto record = state::to_json(state::JobRecord{spec, wall_ms()});
+    if (!wire::is_storable(record, wire::max_depth)) return Rejection{400, "a text is not valid UTF-8"};
+    if (wire::text_size(record) > settings_.placement.value_bytes)
+        return Rejection{422, "the job's description is larger than the state service keeps"};
+    return std::nullopt;
+}
+
 Task<std::optional<Node::Rejection>> Node::find_rejection(const wire::JobSpec& spec) {
     auto rejection = rejected_by_settings(spec);
     if (rejection) co_return rejection;
+    rejection = rejected_by_record(spec);
+    if (rejection) co_return rejection;
     auto error_text = co_await check_project(spec);
     if (error_text) co_return Rejection{422, std::move(*error_text)};
     rejection = rejected_by_machine_types(spec);
--- a/src/lab/state_service.cpp
+++ b/src/lab/state_service.cpp
@@ -17,6 +17,8 @@
     if (error != std::errc{} || parsed_end != s.data() + s.size()) return std::nullopt;
     return value;
 }
+// Levels of maps and lists in a request. Values are kept unchanged, also those that no controller would write.
+constexpr int max_request_depth = 500;
 }  // namespace
 
 StateService::StateService(net::asio::io_context& io, const std::string& file, StateLimits limits)
@@ -61,7 +63,7 @@
     const bool get = request.method == verb::get, post = request.method == verb::post;
     Json body = Json::object();
     if (post && !request.body.empty()) {
-        auto decoded = wire::decode(request.body);
+        auto decoded = wire::decode_unchanged(request.body, max_request_depth);
         if (!decoded) co_return Response{400, {{"error", "not MessagePack"}}};
         body = std::move(*decoded);
     }
--- a/src/placement/record_writes.cpp
+++ b/src/placement/record_writes.cpp
@@ -16,40 +16,6 @@
     std::uint64_t agent_epoch;
 };
 
-// The length of the value as JSON text. Computed without serializing it, because an assignment shard of
-// 10 KB is measured for each start on its machines.
-std::size_t text_size(const wire::Json& value) {
-    auto digits = [](std::uint64_t n) {
-        std::size_t length = 1;
-        for (; n >= 10; n /= 10) ++length;
-        return length;
-    };
-    switch (value.type()) {
-        case Json::value_t::array: {
-            std::size_t sum = value.empty() ? 2 : 1 + value.size();
-            for (auto& v : value) sum += text_size(v);
-            return sum;
-        }
-        case Json::value_t::object: {
-            std::size_t sum = value.empty() ? 2 : 1 + value.size();
-            for (auto& [key, v] : value.items()) sum += text_size(key) + 1 + text_size(v);
-            return sum;
-        }
-        case Json::value_t::string: {
-            const auto& text = value.get_ref<const std::string&>();
-            const bool plain = std::all_of(text.begin(), text.end(), [](char c) {
-                return c >= ' ' && c < 127 && c != '"' && c != '\\';
-            });
-            if (plain) return text.size() + 2;
-            break;
-        }
-        case Json::value_t::number_unsigned:
-            return digits(value.get<std::uint64_t>());
-        default:
-            break;
-    }
-    return value.dump(-1, ' ', false, wire::Json::error_handler_t::replace).size();
-}
 }  // namespace
 
 bool Cluster::write_is_urgent(const Job& job) {
@@ -86,7 +52,7 @@
     std::size_t bytes = 0;
     auto add = [&](Write w) {
         // Measured as JSON text, which the state service's limits count; MessagePack is never much longer.
-        bytes += w.key.size() + 40 + (w.value ? text_size(*w.value) : 0);
+        bytes += w.key.size() + 40 + (w.value ? wire::text_size(*w.value) : 0);
         out.push_back(std::move(w));
     };
     auto full = [&] { return out.size() >= max_ops || bytes >= max_bytes; };
@@ -107,7 +73,7 @@
             for (auto& [a, e] : m->assignments)
                 if (e.phase == AssignmentPhase::recording) starts.push_back({name, a, m->agent_epoch});
         }
-        std::size_t size = text_size(value);
+        std::size_t size = wire::text_size(value);
         if (!shards_.record_size(number, size)) continue;
         if (!out.empty() && bytes + size > max_bytes) break;
         shards_.on_write_sent(number);
--- a/src/state/state_client.cpp
+++ b/src/state/state_client.cpp
@@ -147,12 +147,11 @@
     Value out;
     out.outcome = outcome_of(reply);
     if (out.outcome == Outcome::ok) {
-        const Json* value = wire::find(reply.body, "value");
         auto version = wire::count(reply.body, "mark");
-        if (!value || !version) {
+        if (!version) {
             out.outcome = Outcome::unknown;
         } else {
-            out.value = *value;
+            out.value = value_or_null(reply.body);
             out.version = *version;
         }
     } else if (out.outcome == Outcome::absent) {
--- a/src/wire/codec.cpp
+++ b/src/wire/codec.cpp
@@ -1,15 +1,17 @@
 #include "wire/codec.hpp"
 
+#include <algorithm>
 #include <cmath>
 
+#include "wire/unreadable_values.hpp"
+
 namespace barrowrun::wire {
 namespace {
 
-constexpr int max_depth = 24;
-
 // Parses a document without building it, and stops at the depth limit.
 struct DepthGuard : nlohmann::json_sax<Json> {
-    int depth = 0;
+    explicit DepthGuard(int limit) : max_depth(limit) {}
+    int max_depth, depth = 0;
     bool enter() { return ++depth <= max_depth; }
     bool leave() {
         --depth;
@@ -35,7 +37,14 @@
 }  // namespace
 
 std::optional<Json> decode(std::string_view body) {
-    DepthGuard guard;
+    if (auto value = decode_unchanged(body, max_depth)) return value;
+    const auto readable = replace_unreadable_values(body, max_depth);
+    if (!readable) return std::nullopt;
+    return decode_unchanged(*readable, max_depth);
+}
+
+std::optional<Json> decode_unchanged(std::string_view body, int depth_limit) {
+    DepthGuard guard(depth_limit);
     if (!Json::sax_parse(body.begin(), body.end(), &guard, Json::input_format_t::msgpack))
         return std::nullopt;
     Json value = Json::from_msgpack(body.begin(), body.end(), true, false);
@@ -49,6 +58,75 @@
     return out;
 }
 
+// Computed without serializing the value, because an assignment shard of 10 KB is measured for each start on
+// its machines.
+std::size_t text_size(const Json& value) {
+    auto digits = [](std::uint64_t n) {
+        std::size_t length = 1;
+        for (; n >= 10; n /= 10) ++length;
+        return length;
+    };
+    switch (value.type()) {
+        case Json::value_t::array: {
+            std::size_t sum = value.empty() ? 2 : 1 + value.size();
+            for (auto& v : value) sum += text_size(v);
+            return sum;
+        }
+        case Json::value_t::object: {
+            std::size_t sum = value.empty() ? 2 : 1 + value.size();
+            for (auto& [key, v] : value.items()) sum += text_size(key) + 1 + text_size(v);
+            return sum;
+        }
+        case Json::value_t::string: {
+            const auto& text = value.get_ref<const std::string&>();
+            const bool plain = std::all_of(text.begin(), text.end(), [](char c) {
+                return c >= ' ' && c < 127 && c != '"' && c != '\\';
+            });
+            if (plain) return text.size() + 2;
+            break;
+        }
+        case Json::value_t::number_unsigned:
+            return digits(value.get<std::uint64_t>());
+        default:
+            break;
+    }
+    return value.dump(-1, ' ', false, Json::error_handler_t::replace).size();
+}
+
+namespace {
+bool is_valid_utf8(const Json& text) {
+    try {
+        text.dump();
+        return true;
+    } catch (const Json::type_error&) {
+        return false;
+    }
+}
+}  // namespace
+
+bool is_storable(const Json& value, int max_levels) {
+    switch (value.type()) {
+        case Json::value_t::array:
+            return max_levels > 0 && std::all_of(value.begin(), value.end(), [&](const Json& element) {
+                       return is_storable(element, max_levels - 1);
+                   });
+        case Json::value_t::object:
+            if (max_levels <= 0) return false;
+            for (auto& [key, field] : value.items())
+                if (!is_valid_utf8(key) || !is_storable(field, max_levels - 1)) return false;
+            return true;
+        case Json::value_t::string:
+            return is_valid_utf8(value);
+        case Json::value_t::number_float:
+            return std::isfinite(value.get<double>());
+        case Json::value_t::binary:
+        case Json::value_t::discarded:
+            return false;
+        default:
+            return true;
+    }
+}
+
 const Json* find(const Json& map, std::string_view key) {
     if (!map.is_object()) return nullptr;
     auto it = map.find(key);
--- a/src/wire/submission.cpp
+++ b/src/wire/submission.cpp
@@ -42,6 +42,18 @@
     return "";
 }
 
+// A field that a record can't hold is ignored like any other unknown field.
+Json unknown_fields_to_keep(const Json& body) {
+    Json kept;
+    for (auto& [key, value] : body.items()) {
+        const bool known =
+            std::find(std::begin(known_fields), std::end(known_fields), key) != std::end(known_fields);
+        if (!known && is_storable(Json(key), 0) && is_storable(value, max_extra_depth)) kept[key] = value;
+    }
+    if (!kept.is_null() && text_size(kept) > max_extra) return nullptr;
+    return kept;
+}
+
 }  // namespace
 
 bool valid_job_id(std::string_view id) {
@@ -140,13 +152,7 @@
     }
     if (find(body, "project")) take_text("project", s.project);
     if (!wrong.empty()) return wrong;
-    for (auto& [key, value] : body.items()) {
-        if (std::find(std::begin(known_fields), std::end(known_fields), key) != std::end(known_fields))
-            continue;
-        s.extra[key] = value;
-    }
-    if (!s.extra.is_null() && s.extra.dump(-1, ' ', false, Json::error_handler_t::replace).size() > max_extra)
-        s.extra = nullptr;
+    s.extra = unknown_fields_to_keep(body);
     return s;
 }
 
--- a/src/wire/submission.hpp
+++ b/src/wire/submission.hpp
@@ -50,11 +50,15 @@
     // Path of a project below the team, for nested quotas, such as "slips" or "slips/night". Empty: the team
     // itself. This field is an extension of the platform's protocol.
     std::string project;
-    // Unknown fields of the submission, kept unchanged if they fit into `max_extra`: a node of a newer
-    // version finds them in the record of a job that a node of an older version accepted.
+    // Unknown fields of the submission: a node of a newer version finds them in the record of a job that a
+    // node of an older version accepted. A field that can't be stored or has more than `max_extra_depth`
+    // levels is left out, and so are all of them if they don't fit into `max_extra`.
     Json extra;
 };
 inline constexpr std::size_t max_extra = 1024;  // bytes of the unknown fields as JSON
+// Levels of maps and lists in an unknown field that is kept. A record adds at most 5 levels of its own when
+// it is listed, watched or sent to another cell, so that the whole stays far below `max_depth`.
+inline constexpr int max_extra_depth = 8;
 
 bool valid_job_id(std::string_view id);
 // Returns the job, or one line that names the first missing or invalid field.
--- a/tests/sim/site.cpp
+++ b/tests/sim/site.cpp
@@ -48,6 +48,7 @@
     set_up_log();
     lab::StateLimits limits;
     limits.rps = options_.state_rps, limits.write_rps = options_.state_write_rps;
+    limits.value_bytes = options_.value_bytes;
     state_ = std::make_unique<StateServer>(world, limits);
     lab::CloudLimits cloud;
     cloud.machines = options_.most_machines, cloud.list_lag_s = 3, cloud.rps = 5;
@@ -62,6 +63,7 @@
     settings_.placement.cancel_s = options_.cancel_s;
     settings_.placement.heartbeat_s = options_.heartbeat_s;
     settings_.placement.txn_ops = 32;
+    settings_.placement.value_bytes = options_.value_bytes;
     settings_.placement.teams[team] = {0, 0, options_.team_cpus_most, 0};
     if (options_.start_within_s > 0)
         settings_.placement.objectives.push_back({"wait", "batch", options_.start_within_s, 1});
--- a/tests/sim/site.hpp
+++ b/tests/sim/site.hpp
@@ -18,6 +18,7 @@
     bool keep_leases = true;
     double start_within_s = 0;  // aim of arrays; 0: none, and machines are rented late
     double state_rps = 300, state_write_rps = 120;
+    std::size_t value_bytes = 32 * 1024;  // limit of the state service
 };
 
 class Site {
--- a/tests/sim/world.cpp
+++ b/tests/sim/world.cpp
@@ -246,7 +246,10 @@
             auto arrive = [done, answer = std::move(answer)]() mutable {
                 Reply reply;
                 reply.status = answer.status;
-                reply.body = std::move(answer.body);
+                if (auto decoded = wire::decode(wire::encode(answer.body)))
+                    reply.body = std::move(*decoded);
+                else
+                    reply.garbage = true;
                 done(std::move(reply));
             };
             if (auto* f = fault_between(to, from, Direction::answer)) {
--- a/tests/wire_test.cpp
+++ b/tests/wire_test.cpp
@@ -71,6 +71,56 @@
     EXPECT_FALSE(decode(maps));
 }
 
+// Guards against a whole message that is refused because of one unknown field in it.
+TEST(Codec, AnUnknownFieldIsIgnoredHoweverDeepOrWhateverItsKeys) {
+    const std::string known = encode(Json{{"name_id", "wk-1"}}).substr(1);
+    const std::vector<std::string> unknown_values{std::string(60'000, '\x91') + "\x90",
+                                                  std::string(max_depth, '\x91') + "\x90", "\x81\x07\xa1v",
+                                                  std::string("\x92\x81\x90\x07\x81\xa1k\x81\xc0\xc0", 10)};
+    for (auto& value : unknown_values) {
+        auto body = decode(
+            "\x83\xa1"
+            "a" +
+            value + known + "\xa1z\x07");
+        ASSERT_TRUE(body) << value.size();
+        EXPECT_EQ(text(*body, "name_id"), "wk-1");
+        EXPECT_EQ(count(*body, "z"), 7u) << "the field after it is read";
+    }
+}
+
+TEST(Codec, ADocumentOfEveryTypeIsDecodedInTheSameWayBesideAnUnreadableValue) {
+    const Json values{nullptr,
+                      true,
+                      -1,
+                      -40,
+                      -200,
+                      -40'000,
+                      -3'000'000'000,
+                      5,
+                      200,
+                      40'000,
+                      3'000'000'000,
+                      10'000'000'000'000,
+                      1.5,
+                      0.1,
+                      std::string(5, 'a'),
+                      std::string(40, 'b'),
+                      std::string(300, 'c'),
+                      std::string(70'000, 'd'),
+                      Json::array({1, 2}),
+                      Json(std::vector<int>(20, 3)),
+                      Json(std::vector<int>(70'000, 4)),
+                      Json{{"a", {{"b", 1}}}},
+                      Json::binary({1, 2, 3}),
+                      Json::binary({1, 2, 3, 4}, 9),
+                      Json::binary(std::vector<std::uint8_t>(300), 9)};
+    auto body = decode("\x92" + encode(values) + std::string(100, '\x91') + "\x90");
+    ASSERT_TRUE(body);
+    EXPECT_EQ((*body)[0], values);
+    EXPECT_FALSE(decode_unchanged("\x92" + encode(values) + std::string(100, '\x91') + "\x90", max_depth));
+    EXPECT_EQ(decode_unchanged(encode(values), max_depth), values);
+}
+
 // A header of five bytes may declare 2^32 - 1 elements, which the decoder must not allocate in advance.
 TEST(Codec, ADeclaredLengthBeyondTheBodyIsRejected) {
     EXPECT_FALSE(decode(std::string("\xdd\xff\xff\xff\xff", 5)));
