--- a/src/lab/state_service.cpp
+++ b/src/lab/state_service.cpp
@@ -17,7 +17,8 @@
     if (error != std::errc{} || parsed_end != s.data() + s.size()) return std::nullopt;
     return value;
 }
-// Levels of maps and lists in a request. Values are kept unchanged, also those that no controller would write.
+// Levels of maps and lists in a request. Values are kept unchanged, also those that no controller would
+// write.
 constexpr int max_request_depth = 500;
 }  // namespace
 
