Records above the limit of a value: the progress of large jobs is divided, and a rejected write holds up no other

Cause: two that met. The record of finished tasks grows with work (a character for each six tasks, 16,667 for 100,000) and was not bounded by the limit that it has to keep; the failures of tasks came on top. And a refusal for good (400) was taken for a passing one: the same transaction was repeated some ten times a second, with the cancellation's record in it as the most urgent one.

Change: - state::ProgressLayout: finished tasks that don't fit into one value stand on further records, progress/<id>/<first>-<end>. Jobs that fit are stored as before. Recovery and look-ups read all of them; what is left of ended jobs is deleted. Tasks that change records after a change of the limit are written to the new one first. - state::Outcome::rejected for 400. RecordWriter sends the writes of a rejected transaction one by one (the end of a job stays one transaction). The one that is rejected alone is left alone for 30 s; starts that wait for it go back to their queues. Submissions and changes of quotas that are rejected are answered 422. - placement::WriteBatch: the one place that adds writes to a transaction, within its operations and bytes; a job's records were added without a look at their size. Records are bounded by 48 KiB where value_kb is larger.

Why this works: no state of a job makes a record that the service does not take, and if a record is rejected all the same, by a limit that nobody foresaw, only what waits for this record waits.

--- a/src/api/job_queries.cpp
+++ b/src/api/job_queries.cpp
@@ -34,13 +34,16 @@
         if (progress.outcome == Outcome::ok) {
             auto parsed = state::parse_progress(progress.value, record->spec.tasks);
             if (!parsed) co_return lookup;
+            const bool complete = co_await add_progress_parts(record->spec, parsed);
+            if (!complete) co_return lookup;
+            const auto done = parsed->all_done();
             lookup.conclusive = true;
-            auto job_state = parsed->failed                              ? wire::JobState::failed
-                             : parsed->cancelled                         ? wire::JobState::cancelled
-                             : parsed->done.size() == record->spec.tasks ? wire::JobState::done
-                             : parsed->done.empty()                      ? wire::JobState::queued
-                                                                         : wire::JobState::running;
-            lookup.status = wire::JobStatus{id, job_state, parsed->done.size(), 0, parsed->total};
+            auto job_state = parsed->failed                      ? wire::JobState::failed
+                             : parsed->cancelled                 ? wire::JobState::cancelled
+                             : done.size() == record->spec.tasks ? wire::JobState::done
+                             : done.empty()                      ? wire::JobState::queued
+                                                                 : wire::JobState::running;
+            lookup.status = wire::JobStatus{id, job_state, done.size(), 0, parsed->total};
             co_return lookup;
         }
         if (progress.outcome != Outcome::absent) co_return lookup;
@@ -64,6 +67,16 @@
     co_return lookup;
 }
 
+// Adds the finished tasks of a large job that stand on further records. False: they could not be read.
+Task<bool> Node::add_progress_parts(const wire::JobSpec& spec, std::optional<state::Progress>& progress) {
+    if (state::ProgressLayout(spec, settings_.placement.max_record_bytes()).parts().empty()) co_return true;
+    auto records = co_await state_.list(state::progress_key(spec.id) + "/", state::Throttle::admitted_lookup);
+    for (auto& record : records.items)
+        if (const auto key = state::parse_progress_key(record.key))
+            state::add_progress_record(progress, key->part, record.value, spec.tasks);
+    co_return records.ok;
+}
+
 Task<std::optional<Response>> Node::forward_to_leader(std::string target, Json body,
                                                       Clock::duration deadline) {
     auto address = election_.leader_address();
--- a/src/api/leader.hpp
+++ b/src/api/leader.hpp
@@ -68,6 +68,8 @@
     Task<> recover_delegations(TimePoint now, std::int64_t wall);
     Task<state::Snapshot> read_snapshot();
     Task<> recover_catalog();
+    static std::optional<state::Progress> read_progress(const std::vector<const state::KeyValue*>& records,
+                                                        const wire::JobSpec& spec);
     Task<std::size_t> recover_jobs(const state::Snapshot& records, TimePoint now, std::int64_t wall,
                                    net::TimeSlicer& slicer);
     Task<> recover_machines(const state::Listing& shards, std::int64_t wall, net::TimeSlicer& slicer);
--- a/src/api/node.hpp
+++ b/src/api/node.hpp
@@ -60,6 +60,7 @@
         std::optional<wire::JobStatus> status;
     };
     Task<JobLookup> look_up_job(std::string id);
+    Task<bool> add_progress_parts(const wire::JobSpec& spec, std::optional<state::Progress>& progress);
     Task<> notify_leader(std::string id);
     Task<> load_catalog();
     Task<std::optional<Response>> forward_to_leader(std::string target, Json body, Clock::duration deadline);
--- a/src/api/quota_service.cpp
+++ b/src/api/quota_service.cpp
@@ -151,8 +151,10 @@
         co_return invalid_change(*errors);
     auto& next = std::get<VersionedQuotas::NextVersion>(result);
     InFlight changing(changing_);
-    const bool written = co_await write_version(std::move(next.writes));
-    if (!written) co_return leadership_lost();
+    const auto written = co_await write_version(std::move(next.writes));
+    if (written == WriteResult::rejected)
+        co_return error_response(422, "the state service does not take the records of the change");
+    if (written == WriteResult::leadership_lost) co_return leadership_lost();
     spdlog::info("quotas: version {} in force, {} nodes set, {} removed, by {} ({})", next.book.version(),
                  change.set_entries.size(), change.removed_paths.size(), change.author, change.reason);
     apply(std::move(next.book), next.tree);
@@ -171,7 +173,7 @@
         auto& write = writes[at];
         const auto size = write.value.dump(-1, ' ', false, Json::error_handler_t::replace).size() +
                           write.key.size() + max_write_overhead_bytes;
-        if (!operations.empty() && bytes + size > max_transaction_bytes) break;
+        if (!operations.empty() && bytes + size > placement::max_transaction_bytes) break;
         bytes += size;
         operations.push_back({write.key, write.value, 0});
     }
@@ -179,27 +181,29 @@
 }
 
 // Writes pages to slots that the current head does not refer to, with as many transactions as needed; the
-// last one also writes the head. False: leadership was lost meanwhile.
-Task<bool> QuotaService::write_version(std::vector<VersionedQuotas::RecordWrite> writes) {
+// last one also writes the head.
+Task<QuotaService::WriteResult> QuotaService::write_version(
+    std::vector<VersionedQuotas::RecordWrite> writes) {
     for (std::size_t at = 0; at < writes.size();) {
         auto operations = next_transaction(writes, at);
         at += operations.size();
         std::optional<Json> head;
         if (at == writes.size()) head = writes.back().value;
-        const bool written = co_await write_until_durable(std::move(operations), std::move(head));
-        if (!written) co_return false;
+        const auto result = co_await write_until_durable(std::move(operations), std::move(head));
+        if (result != WriteResult::durable) co_return result;
     }
-    co_return true;
+    co_return WriteResult::durable;
 }
 
-// Repeats one transaction until it is durable. `head`: value of the head record, if the transaction writes
-// it. False: leadership was lost meanwhile.
-Task<bool> QuotaService::write_until_durable(std::vector<state::Operation> operations,
-                                             std::optional<Json> head) {
+// Repeats one transaction until it is durable or was rejected. `head`: value of the head record, if the
+// transaction writes it.
+Task<QuotaService::WriteResult> QuotaService::write_until_durable(std::vector<state::Operation> operations,
+                                                                  std::optional<Json> head) {
     for (;;) {
-        if (!host_.may_act()) co_return false;
+        if (!host_.may_act()) co_return WriteResult::leadership_lost;
         const auto outcome = co_await writer_.write(operations);
-        if (outcome == Outcome::ok) co_return true;
+        if (outcome == Outcome::ok) co_return WriteResult::durable;
+        if (outcome == Outcome::rejected) co_return WriteResult::rejected;
         if (outcome == Outcome::conflict) {
             // Not executed: the fencing token was refreshed meanwhile, or another node leads.
             co_await net::sleep_for(conflict_retry_pause);
@@ -218,7 +222,7 @@
         }
         if (!head) continue;  // pages that no head refers to may be written again
         auto recorded = co_await services_.state.get(quota::head_key);
-        if (recorded.outcome == Outcome::ok && recorded.value == *head) co_return true;
+        if (recorded.outcome == Outcome::ok && recorded.value == *head) co_return WriteResult::durable;
     }
 }
 
--- a/src/api/quota_service.hpp
+++ b/src/api/quota_service.hpp
@@ -58,11 +58,12 @@
   private:
     void apply(quota::VersionedQuotas quotas, quota::TreePtr tree);
     std::optional<net::Response> answer_without_writing(const quota::Change& change) const;
-    net::Task<bool> write_version(std::vector<quota::VersionedQuotas::RecordWrite> writes);
+    enum class WriteResult { durable, leadership_lost, rejected };
+    net::Task<WriteResult> write_version(std::vector<quota::VersionedQuotas::RecordWrite> writes);
     std::vector<state::Operation> next_transaction(
         const std::vector<quota::VersionedQuotas::RecordWrite>& writes, std::size_t from) const;
-    net::Task<bool> write_until_durable(std::vector<state::Operation> operations,
-                                        std::optional<wire::Json> head);
+    net::Task<WriteResult> write_until_durable(std::vector<state::Operation> operations,
+                                               std::optional<wire::Json> head);
     std::vector<std::uint64_t> waiting_tasks_by_node() const;
     wire::Json node_json(quota::NodeId id, std::uint64_t waiting_tasks) const;
 
--- a/src/api/record_writer.cpp
+++ b/src/api/record_writer.cpp
@@ -64,9 +64,12 @@
         const bool refresh = token_refresh_due();
         const bool progress = progress_due();
         if (progress) progress_written_ = Clock::now();
-        auto writes = cluster.take_writes(max_operations - refresh, max_transaction_bytes, Clock::now(),
-                                          wall_ms(), progress);
-        if (writes.empty() && !refresh) continue;
+        auto writes = cluster.take_writes(max_operations - refresh, placement::max_transaction_bytes,
+                                          Clock::now(), wall_ms(), progress);
+        if (writes.empty() && !refresh) {
+            co_await signal_.wait(progress_wait);
+            continue;
+        }
         const auto token = refresh ? FencedWriter::Token::refresh : FencedWriter::Token::keep;
         co_await write(std::move(writes), token);
     }
@@ -83,10 +86,32 @@
         host_.on_write();
         co_return;
     }
+    if (outcome == Outcome::rejected) {
+        co_await write_separately(std::move(writes));
+        co_return;
+    }
     host_.cluster.write_failed(std::move(writes), outcome == Outcome::unknown);
     co_await handle_failure(outcome);
 }
 
+// The state service never executes this transaction. Each of its writes that could be sent alone is, so that
+// the one that is not taken holds up no other.
+Task<> RecordWriter::write_separately(std::vector<placement::Write> writes) {
+    auto transactions = placement::separable(std::move(writes));
+    if (transactions.size() == 1) {
+        host_.cluster.write_rejected(std::move(transactions.front()), Clock::now());
+        co_return;
+    }
+    // Without writes the transaction was a refresh of the token under a lease that has ended.
+    if (transactions.empty()) co_await net::sleep_for(refused_pause);
+    for (auto& transaction : transactions) {
+        if (host_.may_act())
+            co_await write(std::move(transaction), FencedWriter::Token::keep);
+        else
+            host_.cluster.write_failed(std::move(transaction));
+    }
+}
+
 void RecordWriter::token_refreshed() {
     const auto now = Clock::now();
     ++token_refreshes_;
--- a/src/api/record_writer.hpp
+++ b/src/api/record_writer.hpp
@@ -41,6 +41,7 @@
     bool token_refresh_due() const;
     bool anything_due() const;
     net::Task<> write(std::vector<placement::Write> writes, FencedWriter::Token token);
+    net::Task<> write_separately(std::vector<placement::Write> writes);
     void token_refreshed();
     net::Task<> handle_failure(state::Outcome outcome);
     net::Task<> fence_unknown_write();
--- a/src/api/recovery.cpp
+++ b/src/api/recovery.cpp
@@ -89,29 +89,41 @@
     cluster_.set_types(services_.catalog);
 }
 
+// The progress of a job, from all its records; nothing if it has none that can be read.
+std::optional<state::Progress> Leader::read_progress(const std::vector<const state::KeyValue*>& records,
+                                                     const wire::JobSpec& spec) {
+    std::optional<state::Progress> progress;
+    for (auto* record : records) {
+        const auto key = state::parse_progress_key(record->key);
+        if (!state::add_progress_record(progress, key->part, record->value, spec.tasks))
+            spdlog::error("record {}: not a valid progress record, it is ignored", record->key);
+    }
+    return progress;
+}
+
 // Returns the number of active jobs.
 Task<std::size_t> Leader::recover_jobs(const state::Snapshot& records, TimePoint now, std::int64_t wall,
                                        net::TimeSlicer& slicer) {
-    std::map<std::string, const Json*> progress_by_job;
-    for (auto& item : records.progress.items) progress_by_job[item.key.substr(9)] = &item.value;
+    std::map<std::string, std::vector<const state::KeyValue*>> progress_by_job;
+    for (auto& item : records.progress.items)
+        if (auto key = state::parse_progress_key(item.key)) progress_by_job[key->job].push_back(&item);
     std::size_t count = 0;
     for (auto& item : records.jobs.items) {
         co_await slicer.pause();
+        auto found = progress_by_job.extract(item.key.substr(5));
         auto record = state::parse_job_record(item.value);
         if (!record) {
             spdlog::error("record {}: not a valid job record, the job is skipped", item.key);
             continue;
         }
         std::optional<state::Progress> progress;
-        if (auto it = progress_by_job.find(record->spec.id); it != progress_by_job.end()) {
-            progress = state::parse_progress(*it->second, record->spec.tasks);
-            if (!progress)
-                spdlog::error("record progress/{}: not a valid progress record, it is ignored",
-                              record->spec.id);
-        }
+        if (found) progress = read_progress(found.mapped(), record->spec);
         cluster_.add_job(*record, progress ? &*progress : nullptr, now, wall);
         ++count;
     }
+    // What is left belongs to jobs that have ended: a predecessor ended before it deleted these records.
+    for (auto& [id, left] : progress_by_job)
+        for (auto* record : left) cluster_.enqueue({record->key, std::nullopt, {}});
     co_return count;
 }
 
--- a/src/api/submissions.cpp
+++ b/src/api/submissions.cpp
@@ -75,7 +75,7 @@
 std::optional<Node::Rejection> Node::rejected_by_record(const wire::JobSpec& spec) const {
     const auto record = state::to_json(state::JobRecord{spec, wall_ms()});
     if (!wire::is_storable(record, wire::max_depth)) return Rejection{400, "a text is not valid UTF-8"};
-    if (wire::text_size(record) > settings_.placement.value_bytes)
+    if (wire::text_size(record) > settings_.placement.max_record_bytes())
         return Rejection{422, "the job's description is larger than the state service keeps"};
     return std::nullopt;
 }
@@ -139,6 +139,11 @@
             net::asio::co_spawn(io_, notify_leader(id), net::asio::detached);
             co_return Response{200, wire::accepted_json(id, lookup.status->state)};
         }
+        if (result.outcome == Outcome::rejected) {
+            auto answer =
+                co_await respond_rejected(id, {422, "the state service does not take the job's record"});
+            co_return answer;
+        }
         if (!state_.responsive(Clock::now())) co_return std::nullopt;
         co_await net::sleep_for(write_retry_pause);
     }
--- a/src/api/transaction_limits.hpp
+++ b/src/api/transaction_limits.hpp
@@ -7,10 +7,6 @@
 
 namespace barrowrun::api {
 
-// The service accepts request bodies of up to 64 KiB; the difference is left for the encoding around keys and
-// values.
-inline constexpr std::size_t max_transaction_bytes = 48 * 1024;
-
 // Most operations in one transaction. At least four, even if the setting is smaller, because some operations
 // must be in the same transaction.
 inline std::size_t max_transaction_operations(const placement::Config& config) {
--- a/src/fleet/assignment_shards.cpp
+++ b/src/fleet/assignment_shards.cpp
@@ -65,7 +65,7 @@
 }
 
 bool AssignmentShards::is_due(ShardId n, const Shard& shard, bool all) const {
-    if (!shard.changed || !shard.write_after.empty()) return false;
+    if (!shard.changed || shard.rejected || !shard.write_after.empty()) return false;
     return all || shard.urgency || std::any_of(shards_.begin(), shards_.end(), [n](auto& s) {
                return s.second.write_after.contains(n);
            });
@@ -122,8 +122,14 @@
 void AssignmentShards::on_write_failed(ShardId id) {
     auto& shard = shards_.at(id);
     shard.changed = true;
+    shard.rejected = false;
     // Starts still wait for this write, but their urgency was reset when it was sent: assume the highest.
     shard.urgency = Urgency{wire::Priority::production, TimePoint{}};
 }
 
+void AssignmentShards::on_write_rejected(ShardId id) {
+    auto& shard = shards_.at(id);
+    shard.changed = shard.rejected = true;
+}
+
 }  // namespace barrowrun::fleet
--- a/src/fleet/assignment_shards.hpp
+++ b/src/fleet/assignment_shards.hpp
@@ -46,13 +46,15 @@
     void on_write_sent(ShardId shard);     // the write was sent to the state service
     void on_write_durable(ShardId shard);  // the state service has stored the write
     void on_write_failed(ShardId shard);   // the write failed; the shard becomes due again
+    // The state service does not take the record: the shard is not due until `on_write_failed`.
+    void on_write_rejected(ShardId shard);
 
   private:
     struct Shard {
         std::set<std::string> machines;
         std::size_t bytes = 0;
         std::optional<Urgency> urgency;
-        bool changed = false;
+        bool changed = false, rejected = false;
         std::set<ShardId> write_after;  // shards that must be durable before this one is written
     };
     Shard& shard_of(const std::string& machine);
--- a/src/fleet/machine.hpp
+++ b/src/fleet/machine.hpp
@@ -28,6 +28,7 @@
     std::uint64_t fencing_token_sent = 0;  // highest token under which this leader has written to its worker
     bool up = false;                       // this leader has received a heartbeat from its worker
     std::optional<TimePoint> spot_reclaim_at;  // spot notice: nominal time of reclaim by the cloud
+    TimePoint no_starts_before{};              // after a record of its starts could not be written
     TimePoint known_since{}, provisioned_at{}, last_heartbeat{}, last_answer{}, idle_since{}, last_probe{};
     TimePoint agent_epoch_known{};  // when the leader first heard of the agent epoch, which began no later
     bool returning = false;         // a return request to the cloud was or will be sent
--- a/src/placement/cluster.cpp
+++ b/src/placement/cluster.cpp
@@ -50,7 +50,7 @@
 Cluster::Cluster(Config config)
     : config_(std::move(config)),
       queue_(config_.queue_bound),
-      shards_(config_.value_bytes),
+      shards_(config_.max_record_bytes()),
       ledger_(first_tree(config_)) {}
 
 bool fits_type(const wire::JobSpec& spec, const wire::MachineType& t) {
@@ -107,12 +107,11 @@
     job.accepted = now - std::chrono::milliseconds(
                              std::clamp<std::int64_t>(wall_ms - record.accepted_ms, 0, 86'400'000));
     if (progress) {
-        job.done = job.durable_done = progress->done;
+        recover_done_tasks(job, *progress);
         job.cancelled = job.cancel_durable = progress->cancelled;
         job.failed = progress->failed;
         job.errors = progress->errors;
         job.error_count = progress->total;
-        job.progress_written = true;
     }
     if (job.spec.retries && !job.error_count) job.error_count.emplace();
     if (!job.cancelled) {
@@ -133,10 +132,26 @@
                     occupy(job, a, e, *m);
                 }
     job.fully_scheduled = job.waiting.empty();
-    if (job.cancelled || job.finished()) mark_write_pending(job);
+    if (job.cancelled || job.finished() || job.durable_done.size() < job.done.size()) mark_write_pending(job);
     return job;
 }
 
+// Tasks that a record of another layout names are done, but not durable: they are written again, to the
+// records of this layout, before the other record may be overwritten or deleted.
+void Cluster::recover_done_tasks(Job& job, const state::Progress& progress) {
+    const state::ProgressLayout layout(job.spec, config_.max_record_bytes());
+    const auto main = layout.main();
+    job.progress_written = true;
+    job.done = progress.done;
+    job.durable_done = progress.done.within(main.first, main.end);
+    const auto parts = layout.parts();
+    for (auto& [tasks, done] : progress.parts) {
+        job.progress_parts.insert(tasks);
+        job.done.insert(done);
+        if (std::find(parts.begin(), parts.end(), tasks) != parts.end()) job.durable_done.insert(done);
+    }
+}
+
 void Cluster::release_shape(const Job& job) {
     auto it = shapes_.find(job.shape);
     if (it == shapes_.end() || --it->second.jobs > 0) return;
@@ -255,7 +270,7 @@
     mark_write_pending(job);
     // The record names every task that failed and is not done. The job fails before this record outgrows the
     // size limit of a value.
-    bool too_many = job.errors.size() > config_.value_bytes / 64;
+    bool too_many = job.errors.size() > state::max_failed_tasks(config_.max_record_bytes());
     if (errors.count <= *job.spec.retries && !too_many) return;
     spdlog::info("job {}: failed: task {} failed {} times, last on machine {}{}", job.spec.id, a.task.str(),
                  errors.count, m.name, too_many ? "; too many of its tasks have failed" : "");
--- a/src/placement/cluster.hpp
+++ b/src/placement/cluster.hpp
@@ -19,6 +19,7 @@
 #include "placement/config.hpp"
 #include "placement/job.hpp"
 #include "placement/starvation_monitor.hpp"
+#include "placement/write_batch.hpp"
 #include "queue/job_queue.hpp"
 #include "quota/reclaim.hpp"
 #include "state/records.hpp"
@@ -32,13 +33,6 @@
 using wire::Attempt;
 using wire::TaskId;
 
-// A record to write or delete in a transaction, and the callback to run once the write is durable.
-struct Write {
-    std::string key;
-    std::optional<wire::Json> value;  // absent: delete the record
-    std::function<void()> on_durable;
-};
-
 // Bounds the duration of a scheduling round and the writes that its starts queue; the next round follows at
 // once.
 inline constexpr std::size_t max_starts_per_round = 400;
@@ -173,6 +167,9 @@
     // Queues the writes of a failed transaction again. `may_be_executed`: the transaction got no reply, so
     // other nodes may already read its records.
     void write_failed(std::vector<Write> writes, bool may_be_executed = false);
+    // The state service never executes these writes, which belong into one transaction. They are left alone
+    // for a while, and starts that wait for them go back to their queues.
+    void write_rejected(std::vector<Write> writes, TimePoint now);
     void enqueue(Write w) { queued_writes_.push_back(std::move(w)); }
     // Marks the machine's record as changed, to be written when next convenient; starts are written at once.
     void mark_machine_changed(const std::string& name) { shards_.mark_changed(name); }
@@ -221,6 +218,27 @@
     // Whether the attempt failed and its failure was counted but is not recorded yet.
     bool has_unrecorded_error(const Attempt& a, const Assignment& e) const;
     void mark_write_pending(Job& job);
+    // A start whose record is being written, and the agent epoch that the record allows for it.
+    struct RecordedStart {
+        std::string machine;
+        Attempt attempt;
+        std::uint64_t agent_epoch;
+    };
+    void take_shard_writes(WriteBatch& batch, TimePoint now, std::int64_t wall_ms, bool all);
+    void on_shard_durable(std::uint32_t shard, const std::vector<RecordedStart>& starts);
+    // Adds the writes that the job needs now. False: not all fit into the batch, the job stays pending.
+    bool take_job_writes(Job& job, WriteBatch& batch);
+    bool take_end(Job& job, WriteBatch& batch);
+    bool take_progress(Job& job, WriteBatch& batch);
+    bool take_main_progress(Job& job, state::TaskRange tasks, WriteBatch& batch);
+    bool take_progress_part(Job& job, state::TaskRange tasks, WriteBatch& batch);
+    static bool has_unrecorded_tasks(const Job& job, state::TaskRange tasks);
+    void on_end_durable(const std::string& id, const state::FinishedRecord& finished);
+    void on_progress_durable(const std::string& id, const state::Progress& written);
+    void on_state_change_failed(const std::string& key, bool may_be_executed);
+    void return_starts(std::uint32_t shard, TimePoint now);
+    void retry_rejected_writes(TimePoint now);
+    void recover_done_tasks(Job& job, const state::Progress& progress);
     // Whether the job's next record is written even while progress is deferred: the job has ended or been
     // cancelled, or a failure is not recorded yet.
     static bool write_is_urgent(const Job& job);
@@ -289,6 +307,13 @@
     fleet::AssignmentShards shards_;
     std::set<std::string> pending_jobs_, machines_with_commands_, changed_delegated_shards_;
     std::deque<Write> queued_writes_;
+    // Writes that the state service does not take, the first ones first, and the jobs among them.
+    struct RejectedWrites {
+        TimePoint retry_at;
+        std::vector<Write> writes;
+    };
+    std::deque<RejectedWrites> rejected_writes_;
+    std::set<std::string> rejected_jobs_;
     quota::Ledger ledger_;
     // Charges of the current round for room that is being made for work within its guarantee.
     std::vector<std::pair<quota::NodeId, wire::Resources>> reclaim_charges_;
--- a/src/placement/delegation.cpp
+++ b/src/placement/delegation.cpp
@@ -51,6 +51,7 @@
     // Only the origin cell writes the record of the job's progress. If all tasks of the shard are done,
     // add_job() has added the job to the pending writes, from which it is removed here.
     job.runs_for_origin_cell = true;
+    job.durable_done = progress.done;
     pending_jobs_.erase(record.spec.id);
     changed_delegated_shards_.insert(record.spec.id);
     return job;
--- a/src/placement/eligibility.cpp
+++ b/src/placement/eligibility.cpp
@@ -7,7 +7,7 @@
 
 bool Cluster::schedulable(const Machine& m, TimePoint now) const {
     return m.up && !m.returning && !m.draining && !m.quarantined_since && !m.suspected &&
-           !m.spot_reclaim_at && m.capacity.mem_gb > 0 &&
+           !m.spot_reclaim_at && m.capacity.mem_gb > 0 && now >= m.no_starts_before &&
            now - m.last_heartbeat < secs(config_.heartbeat_s * 1.25 + 1.5);
 }
 
--- a/src/placement/expiry.cpp
+++ b/src/placement/expiry.cpp
@@ -10,6 +10,7 @@
 using wire::TaskState;
 
 bool Cluster::tick(TimePoint now, const std::function<TimePoint(const std::string&)>& others) {
+    retry_rejected_writes(now);
     bool lease_expired = false;
     std::map<std::string, TimePoint> renewed_until;
     auto answered = [&](const std::string& zone) {
--- a/src/placement/job.hpp
+++ b/src/placement/job.hpp
@@ -39,7 +39,9 @@
     // shard count as done here, and this cluster does not write the job's records.
     bool runs_for_origin_cell = false;
     bool failed = false;  // cancelled because a task failed more often than the job allows
+    // `progress_written`: the job has a progress record; `progress_parts`: and these further ones.
     bool write_pending = false, progress_written = false;
+    std::set<state::TaskRange> progress_parts;
     // A write that changes the job state shown to users is in flight, or has had no reply: other nodes may
     // already read the new record. Until the outcome is known, no request is answered from memory.
     bool write_in_flight = false, write_unanswered = false;
--- a/src/state/records.cpp
+++ b/src/state/records.cpp
@@ -56,6 +56,15 @@
     return true;
 }
 
+IndexSet IndexSet::within(std::uint32_t from, std::uint32_t to) const {
+    IndexSet out;
+    auto it = ranges_.upper_bound(from);
+    if (it != ranges_.begin()) --it;
+    for (; it != ranges_.end() && it->first < to; ++it)
+        out.insert_range(std::max(from, it->first), std::min(to, it->second));
+    return out;
+}
+
 std::optional<std::uint32_t> IndexSet::first() const {
     if (ranges_.empty()) return std::nullopt;
     return ranges_.begin()->first;
--- a/src/state/records.hpp
+++ b/src/state/records.hpp
@@ -4,10 +4,13 @@
 //   leader              the leader node; attached to the leader's lease; its version is the fencing token
 //   jobs/<id>           the accepted job, written once by the node that accepted it
 //   progress/<id>       the job's finished tasks and whether it was cancelled; written only by the leader
+//   progress/<id>/<first>-<end>
+//                       finished tasks of a job that is too large for one record (ProgressLayout)
 //   past/<id>           final state of a finished job
 //   sheets/<number>     assignment shard: machines, each with the attempts that may be on it
 //   hires/<request>     a provisioning request whose outcome is not known yet
 //   catalog             machine types, with which a node can check jobs while the cloud is unavailable
+#include <algorithm>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -40,6 +43,7 @@
     }
     std::uint32_t size() const { return size_; }
     bool empty() const { return size_ == 0; }
+    IndexSet within(std::uint32_t from, std::uint32_t to) const;  // the members in [from, to)
     std::optional<std::uint32_t> first() const;
     std::optional<std::uint32_t> next(std::uint32_t from) const;  // smallest member >= from
     const std::map<std::uint32_t, std::uint32_t>& ranges() const { return ranges_; }
@@ -78,6 +82,12 @@
     bool operator==(const TaskFailures&) const = default;
 };
 
+// Tasks `first` to `end` - 1 of a job.
+struct TaskRange {
+    std::uint32_t first = 0, end = 0;
+    auto operator<=>(const TaskRange&) const = default;
+};
+
 struct Progress {
     IndexSet done;
     bool cancelled = false;
@@ -85,10 +95,45 @@
     // Present only for jobs that count their failures.
     std::map<std::uint32_t, TaskFailures> errors{};
     std::optional<wire::ErrorCount> total{};
+    // Finished tasks that further records of the job have; not part of the job's main record.
+    std::map<TaskRange, IndexSet> parts{};
+
+    IndexSet all_done() const;
 };
+// The main record. `tasks`: all finished tasks in it are below this number.
 Json to_json(const Progress& p, std::uint32_t tasks);
 std::optional<Progress> parse_progress(const Json& value, std::uint32_t tasks);
 
+// How the progress of a job is divided among records, so that each fits into a value of the state service
+// whatever tasks have finished. The main record has the job's first tasks, its flags and its failures. Jobs
+// whose progress fits into one value have no other record. A record's key names its tasks, so that a
+// record of another layout (the limit of values is a setting) is never overwritten by one with fewer tasks.
+class ProgressLayout {
+  public:
+    ProgressLayout(const wire::JobSpec& spec, std::size_t value_bytes);
+    TaskRange main() const { return {0, std::min(width_, tasks_)}; }
+    std::vector<TaskRange> parts() const;  // the tasks of each further record
+
+  private:
+    std::uint32_t tasks_, width_;
+};
+// Most tasks of a job whose failures its progress record can hold, while they aren't done.
+std::size_t max_failed_tasks(std::size_t value_bytes);
+
+std::string progress_part_key(const std::string& id, TaskRange tasks);
+struct ProgressKey {
+    std::string job;
+    std::optional<TaskRange> part;  // nothing: the main record
+};
+std::optional<ProgressKey> parse_progress_key(const std::string& key);
+// `done` may have members outside of `tasks`, which the record leaves out.
+Json progress_part_json(const IndexSet& done, TaskRange tasks);
+std::optional<IndexSet> parse_progress_part(const Json& value, TaskRange tasks);
+// Adds what a record of the job says to what its other records say. `tasks`: the number of the job's tasks.
+// False: the record is malformed, and nothing was added.
+bool add_progress_record(std::optional<Progress>& progress, std::optional<TaskRange> part, const Json& value,
+                         std::uint32_t tasks);
+
 struct FinishedRecord {
     wire::JobState state = wire::JobState::done;
     std::uint32_t done = 0;
--- a/src/state/state_client.cpp
+++ b/src/state/state_client.cpp
@@ -38,6 +38,7 @@
         case 409:
             return Outcome::conflict;
         case 400:
+            return Outcome::rejected;
         case 429:
         case 503:
             return Outcome::refused;
--- a/src/state/state_client.hpp
+++ b/src/state/state_client.hpp
@@ -19,8 +19,9 @@
     ok,
     conflict,  // a precondition failed; nothing was executed
     absent,    // the key or the lease does not exist
-    refused,   // the request was certainly not executed
+    refused,   // the request was certainly not executed; the same request may be executed later
     unknown,   // no usable answer: the request may have been executed, or may still be executed later
+    rejected,  // the service never executes this request: it is malformed or above a limit
 };
 
 // The result of a read. `value` is set only if `outcome` is ok. `version` is the version of the key, or the
--- a/tests/golden_peers_test.cpp
+++ b/tests/golden_peers_test.cpp
@@ -83,6 +83,7 @@
                                          "cluster",
                                          "depot",
                                          "depot_tree",
+                                         "further_progress",
                                          "jobs",
                                          "journal",
                                          "keys",
--- a/tests/golden_records_test.cpp
+++ b/tests/golden_records_test.cpp
@@ -138,6 +138,24 @@
     EXPECT_FALSE(state::parse_assignment_shard_key("sheet/000012"));
 }
 
+// Of a job whose finished tasks don't fit into one value.
+TEST(GoldenRecords, FurtherProgress) {
+    GoldenDirectory golden("further_progress");
+    const state::TaskRange tasks{92'160, 92'500};
+    golden.document("keys", {{"tasks 92160 to 92499", state::progress_part_key("wk-1", tasks)}});
+    const auto rewrite =
+        rewrite_by([&](const Json& value) { return state::parse_progress_part(value, tasks); },
+                   [&](auto& value) { return state::progress_part_json(value, tasks); });
+    golden.message("as-ranges",
+                   state::progress_part_json(members({5, 92'160, 92'161, 92'499, 92'600}), tasks), rewrite);
+    state::IndexSet every_other;
+    for (std::uint32_t i = tasks.first; i < tasks.end; i += 2) every_other.insert(i);
+    golden.message("as-bitmap", state::progress_part_json(every_other, tasks), rewrite);
+    EXPECT_FALSE(state::parse_progress_key("progress/wk-1/92500-92160"));
+    EXPECT_FALSE(state::parse_progress_key("progress/wk-1/5"));
+    EXPECT_FALSE(state::parse_progress_key("progress/wk-1/0-100001"));
+}
+
 TEST(GoldenRecords, Jobs) {
     GoldenDirectory golden("jobs");
     auto rewrite = rewrite_by(state::parse_job_record, [](auto& value) { return to_json(value); });
--- a/tests/sim/services.cpp
+++ b/tests/sim/services.cpp
@@ -134,7 +134,9 @@
     }
     const bool get = request.method == verb::get, post = request.method == verb::post;
     if (path == "/multi" && post) {
-        auto result = store_.multi(request.body, request.bytes);
+        auto result = rejects(request) ? lab::Answer{400, {{"error", "by script"}}}
+                                       : store_.multi(request.body, request.bytes);
+        rejected_ += result.status == 400;
         record_transaction(request, result);
         const bool did = result.status == 200;
         writes_ += did ? static_cast<std::uint64_t>(writes) : 0;
@@ -166,6 +168,14 @@
     answer({400, {{"error", "no such request"}}});
 }
 
+bool StateServer::rejects(const Request& request) const {
+    const Json* operations = wire::find(request.body, "then");
+    if (!rejected_key_ || !operations) return false;
+    return std::any_of(operations->begin(), operations->end(), [this](const Json& operation) {
+        return wire::text(operation, "set").value_or("").starts_with(*rejected_key_);
+    });
+}
+
 // ---- cloud ---------------------------------------------------------------------------------------------
 
 CloudServer::CloudServer(World& world, std::vector<wire::MachineType> types, lab::CloudLimits limits,
--- a/tests/sim/services.hpp
+++ b/tests/sim/services.hpp
@@ -28,6 +28,9 @@
     // Called when a copy was carried out.
     std::function<void()> on_copy_carried_out;
     std::uint64_t copies_carried_out() const { return copies_carried_out_; }
+    // Transactions that set a record whose key begins so are answered with 400.
+    void reject(std::string key) { rejected_key_ = std::move(key); }
+    std::uint64_t rejected() const { return rejected_; }  // transactions so far
     // Only transactions that hold the text are hit.
     void lose_only(std::string text) { lost_only_ = std::move(text); }
     std::uint64_t writes() const { return writes_; }
@@ -45,6 +48,7 @@
     void handle(Request request, Answer answer);
     void carry_out(const Request& request, Answer answer);
     void send_copies(const Request& request);
+    bool rejects(const Request& request) const;
     void record_transaction(const Request& request, const lab::Answer& result);
     void changed();
     World& world_;
@@ -52,7 +56,8 @@
     std::map<std::string, Nanos> refused_;
     Nanos out_until_{0}, slow_until_{0}, slow_by_{0}, lost_until_{0}, copies_until_{0}, copies_latest_{0};
     std::uint64_t copies_one_in_ = 1, copies_carried_out_ = 0, lost_one_in_ = 1, writes_ = 0,
-                  over_the_rate_ = 0;
+                  over_the_rate_ = 0, rejected_ = 0;
+    std::optional<std::string> rejected_key_;
     bool lost_at_once_ = false;
     std::string lost_only_;
     std::optional<Nanos> late_after_;
--- a/tests/support.hpp
+++ b/tests/support.hpp
@@ -42,9 +42,11 @@
         for (auto& [key, value] : values)
             if (key.starts_with("jobs/")) {
                 auto record = *state::parse_job_record(value);
-                auto p = values.find("progress/" + record.spec.id);
                 std::optional<state::Progress> progress;
-                if (p != values.end()) progress = state::parse_progress(p->second, record.spec.tasks);
+                for (auto& [progress_key, progress_value] : values)
+                    if (auto parsed = state::parse_progress_key(progress_key);
+                        parsed && parsed->job == record.spec.id)
+                        state::add_progress_record(progress, parsed->part, progress_value, record.spec.tasks);
                 cluster.add_job(record, progress ? &*progress : nullptr, now, wall);
             }
         for (auto& [key, value] : values)
