--- a/src/autoscaler/scale_out.cpp
+++ b/src/autoscaler/scale_out.cpp
@@ -26,9 +26,10 @@
 // Tolerance for rounding errors in the number of tasks per machine.
 constexpr double rounding_tolerance = 1e-6;
 
-// Number of tasks that an empty machine of the type holds; at least one, as the type fits the task.
-double tasks_per_machine(const wire::Resources& need, const wire::MachineType& type) {
-    double tasks = 1e9;
+// Number of tasks that an empty machine of the type holds, at most `task_slots`; at least one, as the type
+// fits the task.
+double tasks_per_machine(const wire::Resources& need, const wire::MachineType& type, std::size_t task_slots) {
+    auto tasks = static_cast<double>(task_slots);
     if (need.cpus > 0) tasks = std::min(tasks, std::floor(type.cpus / need.cpus + rounding_tolerance));
     if (need.gpus > 0) tasks = std::min(tasks, std::floor(type.gpus / need.gpus + rounding_tolerance));
     if (need.mem_gb > 0) tasks = std::min(tasks, std::floor(type.mem_gb / need.mem_gb + rounding_tolerance));
@@ -37,8 +38,8 @@
 
 // Price of a machine of the type per task, if `missing` tasks are still without a machine.
 double cost_per_task(const wire::Resources& need, const wire::MachineType& type, bool spot,
-                     std::uint32_t missing) {
-    const double whole = tasks_per_machine(need, type);
+                     std::uint32_t missing, std::size_t task_slots) {
+    const double whole = tasks_per_machine(need, type, task_slots);
     const double used = std::max(1.0, std::min(whole, static_cast<double>(missing)));
     return (spot ? type.spot_price : type.price) /
            (used_capacity_weight * used + whole_machine_weight * whole);
@@ -188,7 +189,8 @@
     const auto& bins = supply_.bins();
     fitting_bins_.clear();
     for (std::size_t i = 0; i < bins.size(); ++i)
-        if (suitable_offers_[bins[i].offer] && packing.spec.need.fits(bins[i].available_with(packing.use)))
+        if (suitable_offers_[bins[i].offer] && bins[i].task_slots > 0 &&
+            packing.spec.need.fits(bins[i].available_with(packing.use)))
             fitting_bins_.push_back(i);
     auto rank = [&](std::size_t i) {
         const MachineBin& bin = bins[i];
@@ -202,8 +204,10 @@
 void ScaleOutPlanner::fill(MachineBin& bin, Packing& packing) const {
     const wire::Resources& need = packing.spec.need;
     const std::string& zone = supply_.offer_of(bin).zone;
-    while (packing.missing > 0 && need.fits(bin.available_with(packing.use)) && packing.zones.allows(zone)) {
+    while (packing.missing > 0 && bin.task_slots > 0 && need.fits(bin.available_with(packing.use)) &&
+           packing.zones.allows(zone)) {
         bin.available -= need;
+        --bin.task_slots;
         bin.used = true;
         packing.zones.add(zone);
         --packing.missing;
@@ -231,7 +235,8 @@
         // Only one machine is ordered of an offer whose last order was refused: the remaining demand must not
         // wait for a likely refusal while other offers have capacity.
         if (backoff_.was_refused(offers[i]) && ordered(offers[i]) > 0) continue;
-        const double cost = cost_per_task(packing.spec.need, type, offers[i].spot, packing.missing);
+        const double cost = cost_per_task(packing.spec.need, type, offers[i].spot, packing.missing,
+                                          cluster_.max_tasks_per_machine());
         if (!cheapest || cost < lowest_cost) cheapest = i, lowest_cost = cost;
     }
     return cheapest;
--- a/src/autoscaler/supply.cpp
+++ b/src/autoscaler/supply.cpp
@@ -58,6 +58,7 @@
     MachineBin bin;
     bin.offer = offer;
     bin.available = {type.cpus, type.gpus, type.mem_gb};
+    bin.task_slots = cluster_.max_tasks_per_machine();
     bin.array_cpus = type.cpus;
     bin.ready_in_s = type.boot_s;
     bin.fetch_gb_per_s = type.fetch_gb_per_s;
@@ -74,11 +75,15 @@
     bin.machine = machine.name;
     bin.offer = index_of({machine.type, machine.zone, machine.spot});
     bin.available = machine.available();
+    bin.task_slots = cluster_.task_slots(machine);
     bin.used = machine.has_live();
     bin.cached_images = machine.images.size();
     bin.fetch_gb_per_s = machine.fetch_gb_per_s;
     for (auto& [attempt, assignment] : machine.assignments)
-        if (assignment.stop_requested && !assignment.exited()) bin.available += assignment.need;
+        if (assignment.stop_requested && !assignment.exited()) {
+            bin.available += assignment.need;
+            ++bin.task_slots;
+        }
     bin.preemptible = cluster_.preemptible(machine, wire::Priority::production);
     bin.preemptible_checkpointing = cluster_.preemptible(machine, wire::Priority::normal, true);
     bin.array_cpus = std::max(0.0, bin.available.cpus);
--- a/src/autoscaler/supply.hpp
+++ b/src/autoscaler/supply.hpp
@@ -24,6 +24,7 @@
     std::size_t offer = 0;  // index into Supply::offers()
     wire::Resources available;
     wire::Resources preemptible, preemptible_checkpointing;
+    std::size_t task_slots = 0;  // most tasks that can be added, whatever their size
     bool used = false;           // the machine runs a task, or the plan packed one into it
     double array_cpus = 0;       // CPUs that arrays hold or can get
     double committed_cpu_s = 0;  // CPU time that running array tasks still need
--- a/src/placement/cluster.hpp
+++ b/src/placement/cluster.hpp
@@ -201,6 +201,9 @@
     bool may_preempt(const Job& job, TimePoint now) const;
     double longest_cpu_boot_s() const { return longest_cpu_boot_s_; }
     bool runs_service(const Machine& m) const;
+    // Most attempts on one machine, and how many more it may be given: its record has to fit into a value.
+    std::size_t max_tasks_per_machine() const;
+    std::size_t task_slots(const Machine& m) const;
     // Schedulable machines with room for a task of the job, best first.
     std::vector<Machine*> rank_machines(Job& job, TimePoint now);
     const CapacityIndex& capacity_index() const { return capacity_index_; }
@@ -274,7 +277,6 @@
     // The machine's unreserved capacity once its stopping tasks have exited.
     static wire::Resources capacity_after_stops(const CapacityIndex::IndexedMachine& indexed);
     state::MachineRecord record_of(const Machine& m, TimePoint now, std::int64_t wall_ms) const;
-    std::size_t max_tasks_per_machine() const;  // bounded so that a machine's record fits one value
     void drop_unsent_starts(Machine& m);
     std::vector<wire::Command> commands(Machine& m, bool launches, bool reaps, TimePoint now);
     void place_task(Job& job, std::uint32_t index, Machine& m, std::uint64_t attempt, TimePoint now);
--- a/src/placement/gangs.hpp
+++ b/src/placement/gangs.hpp
@@ -12,7 +12,8 @@
     std::string zone;
     wire::Resources available;
     double capacity_cpus = 0;
-    double base_score = 0;  // machine_scores::for_gang_task; greater is better
+    std::size_t max_tasks = 0;  // most tasks that may be added
+    double base_score = 0;      // machine_scores::for_gang_task; greater is better
 };
 
 // Returns the index of a host for each task, or an empty list if not all tasks fit. Adds the tightness of the
--- a/src/placement/record_writes.cpp
+++ b/src/placement/record_writes.cpp
@@ -13,6 +13,8 @@
 namespace {
 // How long a record that the state service does not take is left alone.
 constexpr std::chrono::seconds rejected_write_pause{30};
+// Most bytes of a machine in its record: without its attempts, and of the name and number of each.
+constexpr std::size_t max_machine_bytes = 400, max_attempt_bytes = 56;
 }  // namespace
 
 bool Cluster::write_is_urgent(const Job& job) {
@@ -29,9 +31,12 @@
 }
 
 std::size_t Cluster::max_tasks_per_machine() const {
-    // The longest task name together with its attempt number takes 52 characters.
-    return std::max<std::size_t>(
-        1, (config_.max_record_bytes() - std::min<std::size_t>(config_.max_record_bytes(), 400)) / 56);
+    const auto bytes = config_.max_record_bytes() - std::min(config_.max_record_bytes(), max_machine_bytes);
+    return std::max<std::size_t>(1, bytes / max_attempt_bytes);
+}
+
+std::size_t Cluster::task_slots(const Machine& m) const {
+    return max_tasks_per_machine() - std::min(max_tasks_per_machine(), m.assignments.size());
 }
 
 state::MachineRecord Cluster::record_of(const Machine& m, TimePoint now, std::int64_t wall_ms) const {
--- a/src/placement/scheduling.cpp
+++ b/src/placement/scheduling.cpp
@@ -37,9 +37,7 @@
     auto score_if_usable = [&](const CapacityIndex::IndexedMachine& indexed) {
         Machine& m = *indexed.machine;
         wire::Resources available = m.unreserved();
-        if (!s.need.fits(available) || !schedulable(m, now) ||
-            m.assignments.size() >= max_tasks_per_machine())
-            return;
+        if (!s.need.fits(available) || !schedulable(m, now) || task_slots(m) == 0) return;
         scored.emplace_back(machine_scores::for_task(m, s, available, job.failed_machines.contains(m.name)),
                             &m);
     };
@@ -90,7 +88,7 @@
         if (!job.spec.need.fits(m.unreserved()) || !schedulable(m, now) ||
             !passes_failure_check(m, job, now) || m.slowness > machine_scores::max_slowness)
             continue;
-        hosts.push_back({m.zone, m.unreserved(), m.capacity.cpus,
+        hosts.push_back({m.zone, m.unreserved(), m.capacity.cpus, task_slots(m),
                          machine_scores::for_gang_task(m, job.spec, job.failed_machines.contains(m.name))});
         machines.push_back(&m);
     }
@@ -264,8 +262,7 @@
         for (; next_machine < ranked.size(); ++next_machine) {
             if (s.need.fits(ranked[next_machine]->unreserved()) &&
                 passes_failure_check(*ranked[next_machine], job, now) &&
-                ranked[next_machine]->assignments.size() < max_tasks_per_machine() &&
-                zones.allows(ranked[next_machine]->zone))
+                task_slots(*ranked[next_machine]) > 0 && zones.allows(ranked[next_machine]->zone))
                 return ranked[next_machine];
         }
         return nullptr;
--- a/tests/record_sizes_test.cpp
+++ b/tests/record_sizes_test.cpp
@@ -201,3 +201,25 @@
         EXPECT_GT(largest, config.value_bytes / 4) << "the test does not come near the limit";
     }
 }
+
+// Guards against a gang of many small tasks that is placed on one machine, whose record is then larger than a
+// value: no record of the leader was written any more.
+TEST(RecordSizes, AGangOfManySmallTasksGetsAsManyMachinesAsItsRecordsNeed) {
+    placement::Config config;
+    config.value_bytes = 16 * kib;
+    Fleet f(config);
+    for (auto name : {"n-1", "n-2"}) f.up(name);
+    auto spec = f.spec("wk-1", 700, 0.005);
+    spec.need.mem_gb = 0.001;
+    spec.kind = wire::JobKind::gang;
+    f.add(spec);
+    f.cluster->schedule_round(f.now);
+    EXPECT_TRUE(f.on("n-1").empty() && f.on("n-2").empty()) << "all of the gang's tasks are placed or none";
+    int ordered = 0;
+    for (auto& order : autoscaler::Autoscaler().plan(*f.cluster, f.now).scale_out) ordered += order.count;
+    EXPECT_GE(ordered, 1) << "machines are rented for the tasks that the records of these have no place for";
+    f.up("n-3");
+    f.cluster->schedule_round(f.now);
+    EXPECT_EQ(f.on("n-1").size() + f.on("n-2").size() + f.on("n-3").size(), 700u);
+    EXPECT_LE(largest_value(f.write()), config.value_bytes);
+}
