--- a/src/api/cell_delegations.cpp
+++ b/src/api/cell_delegations.cpp
@@ -176,7 +176,8 @@
     for (auto& decision :
          offload_planner_.plan_offers(settings_, waiting, now, max_open_delegations - open)) {
         auto* job = cluster.find_job(decision.job);
-        auto tasks = cluster.delegate(*job, decision.tasks);
+        const auto most = cells::max_shard_tasks(job->spec, cluster.config().max_record_bytes());
+        auto tasks = cluster.delegate(*job, std::min(decision.tasks, most));
         if (tasks.empty()) continue;
         auto& shard = delegated_[decision.job];
         shard.to = decision.to;
@@ -355,7 +356,7 @@
             }
             const bool may_accept = settings_.may_execute_for(spec.team, request.from) &&
                                     host_.cluster.queue().waiting() == 0 && !host_.cluster.find_job(id) &&
-                                    host_.cluster.fits_some_type(spec) &&
+                                    host_.cluster.fits_some_type(spec) && fits_into_record(request) &&
                                     (!request.deadline || day_now() < stop_by(*request.deadline));
             answer = shard.executor.on_offer({request.epoch, request.tasks, request.deadline}, may_accept);
         } else {
@@ -375,6 +376,11 @@
     }
 }
 
+bool CellDelegations::fits_into_record(const cells::DelegationRequest& offer) const {
+    return offer.tasks.size() <=
+           cells::max_shard_tasks(*offer.spec, host_.cluster.config().max_record_bytes());
+}
+
 void CellDelegations::stop_executing(const std::string& id) {
     if (auto* job = host_.cluster.find_job(id); job && job->runs_for_origin_cell && !job->cancelled)
         host_.cluster.cancel(*job, Clock::now());
--- a/src/api/cell_delegations.hpp
+++ b/src/api/cell_delegations.hpp
@@ -86,6 +86,8 @@
         return host_.max_cancellation_time + 2 * host_.max_clock_error + stop_margin;
     }
     DayTime stop_by(DayTime deadline) const { return deadline - stop_ahead(); }
+    // Whether the state service of this cell would keep the record of the shard until its end.
+    bool fits_into_record(const cells::DelegationRequest& offer) const;
     void stop_executing(const std::string& job);
 
     // Covers the time until the next check of deadlines, and the recovery of a new leader.
--- a/src/cells/records.cpp
+++ b/src/cells/records.cpp
@@ -1,7 +1,14 @@
 #include "cells/records.hpp"
 
+#include <algorithm>
+
 namespace barrowrun::cells {
 namespace {
+// Of a record, without the job and the tasks.
+constexpr std::size_t fixed_record_bytes = 512;
+// Most bytes of a task in a set of tasks (IndexSet::json). A record has two sets: all tasks, and those done.
+constexpr std::size_t bytes_per_task = 16, sets_per_record = 2;
+
 // The optional deadline of a record or a request, in ms of wall-clock time.
 struct Deadline {
     bool malformed = false;
@@ -94,6 +101,13 @@
     return out;
 }
 
+std::uint32_t max_shard_tasks(const wire::JobSpec& spec, std::size_t value_bytes) {
+    const std::size_t other_bytes = fixed_record_bytes + wire::text_size(wire::submission_json(spec));
+    const std::size_t bytes = value_bytes - std::min(value_bytes, other_bytes);
+    return static_cast<std::uint32_t>(
+        std::min<std::size_t>(wire::max_tasks, bytes / (sets_per_record * bytes_per_task)));
+}
+
 Json closed_epoch_json(const ExecutorRecord& record) {
     return {{"turn", record.epoch}, {"done", record.done.json(wire::max_tasks)}};
 }
--- a/src/cells/records.hpp
+++ b/src/cells/records.hpp
@@ -42,6 +42,10 @@
 Json to_json(const StoredExecutor& executor);
 std::optional<StoredExecutor> parse_executor(const Json& value);
 
+/// Most tasks of the job that one delegation may have: the records of both cells then fit into values of this
+/// size, whichever of the tasks are done.
+std::uint32_t max_shard_tasks(const wire::JobSpec& spec, std::size_t value_bytes);
+
 /// Encodes a closed epoch: its number and its results.
 Json closed_epoch_json(const ExecutorRecord& record);
 std::optional<ExecutorRecord> parse_closed_epoch(const Json& value);
--- a/tests/record_sizes_test.cpp
+++ b/tests/record_sizes_test.cpp
@@ -2,6 +2,7 @@
 // state service, and a successor reads from them what was recorded.
 #include <random>
 
+#include "cells/records.hpp"
 #include "support.hpp"
 
 using namespace barrowrun;
@@ -223,3 +224,44 @@
     EXPECT_EQ(f.on("n-1").size() + f.on("n-2").size() + f.on("n-3").size(), 700u);
     EXPECT_LE(largest_value(f.write()), config.value_bytes);
 }
+
+// The cells of one site may have different limits: the origin's limits what it offers, the executor's what it
+// accepts.
+TEST(RecordSizes, AnyProgressOfADelegatedShardKeepsTheRecordsOfBothCellsWithinAValue) {
+    std::mt19937_64 random(11);
+    for (std::uint64_t round = 0; round < 400; ++round) {
+        const std::size_t value_bytes = (2 + random() % 47) * kib;
+        Fleet f;
+        auto spec = f.spec("wk-100000000000000001", 100'000);
+        spec.types = std::vector<std::string>(random() % 40, "hangarrack");
+        cells::IndexSet tasks, done;
+        const auto most = cells::max_shard_tasks(spec, value_bytes);
+        const auto step = 1 + random() % 60;
+        for (std::uint64_t i = random() % 50'000; i < 100'000 && tasks.size() < most;
+             i += 1 + random() % step)
+            tasks.insert(static_cast<std::uint32_t>(i));
+        tasks.each([&](std::uint32_t i) {
+            if (random() % 2) done.insert(i);
+        });
+        cells::StoredExecutor executor;
+        executor.owner = std::string(60, 'c');
+        executor.record.epoch = 1ULL << 60;
+        executor.record.tasks = tasks;
+        executor.record.done = done;
+        executor.record.deadline = DayTime(std::chrono::milliseconds(1LL << 51));
+        executor.spec = spec;
+        executor.accepted_ms = 1LL << 51;
+        cells::StoredOrigin origin;
+        origin.to = executor.owner;
+        origin.record.epoch = executor.record.epoch;
+        origin.record.open = true;
+        origin.record.tasks = tasks;
+        origin.record.deadline = executor.record.deadline;
+        EXPECT_LE(wire::text_size(cells::to_json(executor)), value_bytes);
+        EXPECT_LE(wire::text_size(cells::to_json(origin)), value_bytes);
+        EXPECT_LE(wire::text_size(cells::closed_epoch_json(executor.record)), value_bytes);
+        if (value_bytes >= 8 * kib) {
+            EXPECT_GT(most, value_bytes / 64) << "the bound leaves room for many tasks";
+        }
+    }
+}
